--- /dev/null
+++ b/internal/config/gateway.go
@@ -0,0 +1,151 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// Gateway is the settings of a gateway on the users' platform.
+type Gateway struct {
+	Role          string        `yaml:"role"`
+	ID            string        `yaml:"id"`
+	FailureDomain string        `yaml:"failure_domain"`
+	Listen        GatewayListen `yaml:"listen"`
+	// KeeperPort is the port of keepers for datagrams.
+	KeeperPort int      `yaml:"keeper_port"`
+	Store      Store    `yaml:"store"`
+	Retries    Retries  `yaml:"retries"`
+	Leave      Leave    `yaml:"leave"`
+	Resources  Resource `yaml:"resources"`
+	LogLevel   string   `yaml:"log_level"`
+}
+
+// GatewayListen is the addresses of a gateway.
+type GatewayListen struct {
+	Callers string `yaml:"callers"`
+	// Ready serves readiness, health and metrics.
+	Ready string `yaml:"ready"`
+	// Datagrams is for keepers and other gateways.
+	Datagrams string `yaml:"datagrams"`
+}
+
+// Keeper is the settings of a keeper on the users' platform.
+type Keeper struct {
+	Role          string       `yaml:"role"`
+	ID            string       `yaml:"id"`
+	FailureDomain string       `yaml:"failure_domain"`
+	Listen        KeeperListen `yaml:"listen"`
+	// Endpoint is the engine on the keeper's host.
+	Endpoint  KeptEndpoint `yaml:"endpoint"`
+	Store     Store        `yaml:"store"`
+	Resources Resource     `yaml:"resources"`
+	LogLevel  string       `yaml:"log_level"`
+}
+
+// KeeperListen is the addresses of a keeper.
+type KeeperListen struct {
+	Datagrams string `yaml:"datagrams"`
+}
+
+// KeptEndpoint is the engine of a keeper.
+type KeptEndpoint struct {
+	Service string `yaml:"service"`
+	Address string `yaml:"address"`
+}
+
+// Store is the platform's metadata store.
+type Store struct {
+	Address string `yaml:"address"`
+	// Timeout bounds a call beyond the time that it asks the store to wait.
+	Timeout time.Duration `yaml:"timeout"`
+	// ConfigWait is how long a question for the configuration waits for a change.
+	ConfigWait time.Duration `yaml:"config_wait"`
+	// EndpointPoll is the pause between questions for the endpoints.
+	EndpointPoll time.Duration `yaml:"endpoint_poll"`
+	// LeaseTerm is the term of the planner's lease.
+	LeaseTerm time.Duration `yaml:"lease_term"`
+}
+
+// Retries bounds what is sent to endpoints beyond the first try of each request, over all gateways.
+type Retries struct {
+	Ratio  float64       `yaml:"ratio"`
+	Slack  float64       `yaml:"slack"`
+	Window time.Duration `yaml:"window"`
+}
+
+// Leave says how a process stops.
+type Leave struct {
+	// Grace is the time between the signal to stop and the end by force.
+	Grace time.Duration `yaml:"grace"`
+	// Unready is how long the gateway still takes connections after it has said that it isn't ready.
+	Unready time.Duration `yaml:"unready"`
+}
+
+// Resource is what the host grants the process.
+type Resource struct {
+	MemoryMB int64 `yaml:"memory_mb"`
+}
+
+func newGateway() Settings {
+	return &Gateway{
+		Role: "gateway",
+		// The store answers in some milliseconds; a slow one takes 60 times as long.
+		Store: defaultStore(),
+		// The balancer notices after two questions, a second apart.
+		Leave: Leave{Grace: 8 * time.Second, Unready: 2500 * time.Millisecond},
+	}
+}
+
+func newKeeper() Settings { return &Keeper{Role: "keeper", Store: defaultStore()} }
+
+func defaultStore() Store {
+	return Store{
+		Timeout: 700 * time.Millisecond, ConfigWait: time.Second, EndpointPoll: 600 * time.Millisecond, LeaseTerm: 4 * time.Second,
+	}
+}
+
+func (c *checks) store(s Store) {
+	c.listen("store.address", s.Address)
+	c.positive("store.timeout", s.Timeout)
+	c.positive("store.config_wait", s.ConfigWait)
+	c.positive("store.endpoint_poll", s.EndpointPoll)
+	c.positive("store.lease_term", s.LeaseTerm)
+}
+
+func (c *checks) resources(r Resource) {
+	c.add(r.MemoryMB <= 0, "resources.memory_mb", "the value is not above zero", "write the memory of the process in megabytes")
+}
+
+func (s *Gateway) problems() []problem {
+	var c checks
+	c.node(s.ID, s.FailureDomain)
+	c.listen("listen.callers", s.Listen.Callers)
+	c.listen("listen.ready", s.Listen.Ready)
+	c.listen("listen.datagrams", s.Listen.Datagrams)
+	c.add(s.KeeperPort <= 0 || s.KeeperPort > 65535, "keeper_port", fmt.Sprintf("value %d is not a port", s.KeeperPort), "write a port from 1 to 65535")
+	c.store(s.Store)
+	c.add(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "a value is below zero", "write the shares that the platform allows")
+	c.positive("retries.window", s.Retries.Window)
+	c.positive("leave.grace", s.Leave.Grace)
+	c.add(s.Leave.Unready < 0 || s.Leave.Unready >= s.Leave.Grace, "leave.unready",
+		fmt.Sprintf("value %s is not between zero and the grace %s", s.Leave.Unready, s.Leave.Grace), "write a shorter duration")
+	c.resources(s.Resources)
+	return c
+}
+
+func (s *Gateway) listens() []address {
+	return []address{{"listen.callers", s.Listen.Callers}, {"listen.ready", s.Listen.Ready}, {"listen.datagrams", s.Listen.Datagrams}}
+}
+
+func (s *Keeper) problems() []problem {
+	var c checks
+	c.node(s.ID, s.FailureDomain)
+	c.listen("listen.datagrams", s.Listen.Datagrams)
+	c.add(s.Endpoint.Service == "", "endpoint.service", "the service is missing", "name the service of the engine on this host")
+	c.listen("endpoint.address", s.Endpoint.Address)
+	c.store(s.Store)
+	c.resources(s.Resources)
+	return c
+}
+
+func (s *Keeper) listens() []address { return []address{{"listen.datagrams", s.Listen.Datagrams}} }
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -15,7 +15,7 @@
 	"chervilhead/internal/standin/engsim"
 )
 
-// Settings is the settings of one role: *Entry, *Agent, *Engine, *Service, *Platform or *Demo.
+// Settings is the settings of one role: *Entry, *Agent, *Gateway, *Keeper, *Engine, *Service, *Platform or *Demo.
 type Settings interface {
 	// problems returns what is wrong with the values.
 	problems() []problem
@@ -38,9 +38,11 @@
 	"service":  func() Settings { return &Service{Role: "service"} },
 	"platform": func() Settings { return &Platform{Role: "platform"} },
 	"demo":     func() Settings { return DefaultDemo() },
+	"gateway":  newGateway,
+	"keeper":   newKeeper,
 }
 
-const roleNames = "entry, agent, engine, service, platform or demo"
+const roleNames = "entry, agent, gateway, keeper, engine, service, platform or demo"
 
 // Load reads and checks a settings file; the field role says whose settings it holds.
 func Load(path string) (Settings, error) {
--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -41,6 +41,8 @@
 	version uint64
 	seen    uint64
 	seenAt  time.Time
+	// current is the holder that the row named when it was last read.
+	current string
 	// stored is what this holder last wrote to the info row.
 	stored []byte
 }
@@ -72,6 +74,9 @@
 	return m.fence, m.held && now.Before(m.until)
 }
 
+// Holder returns the holder that the row named at the last refresh.
+func (m *Manager) Holder() string { return m.current }
+
 // Until returns the time up to which the lease is in force for its holder.
 func (m *Manager) Until() time.Time { return m.until }
 
@@ -90,6 +95,7 @@
 	if err != nil {
 		return err
 	}
+	m.current = cur.Holder
 	now := time.Now()
 	if row.Version != 0 && cur.Holder != m.holder && !m.mayTake(row, cur, now) {
 		m.held = false
@@ -117,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	m.current = m.holder
 	m.held, m.fence, m.version, m.stored = true, next.Fence, version, bytes.Clone(info)
 	// The term counts from before the read, the earliest time at which a taker can have seen the row.
 	m.until = asked.Add(m.term - m.margin)
--- /dev/null
+++ b/internal/node/gateway.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/config"
+	"chervilhead/internal/coordination/lease"
+	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/hop"
+	"chervilhead/internal/state/again"
+	"chervilhead/internal/transport/desk"
+	"chervilhead/internal/transport/httpd"
+	"chervilhead/internal/transport/pass"
+)
+
+// PlatformStore is the platform's store as gateways and keepers use it.
+type PlatformStore interface {
+	store.Table
+	watch.Source
+}
+
+const (
+	// dialTimeout bounds a new connection to an endpoint, which takes some milliseconds.
+	dialTimeout = 250 * time.Millisecond
+	// configStale is the age from which a route that isn't known may be a new one.
+	configStale = 1800 * time.Millisecond
+	// askEvery and sayEvery are the pauses between subscriptions and reports of demand.
+	askEvery, sayEvery = 600 * time.Millisecond, 400 * time.Millisecond
+	// headerTimeout and idleTimeout bound what a client may take; the operators' limits
+	// for clients are shorter.
+	headerTimeout, idleTimeout = 10 * time.Second, 60 * time.Second
+	// maxHeaderBytes is twice what the operators' limits allow a client.
+	maxHeaderBytes = 32 << 10
+	// storeRetry is the pause after a call of the store that failed.
+	storeRetry = 200 * time.Millisecond
+	// orderDelay is taken off the planner's lease: the time that an order takes to a keeper.
+	orderDelay = 500 * time.Millisecond
+	// tidyEvery is the pause between looks for connections that are idle for too long.
+	tidyEvery = time.Second
+	// exitMargin is left of the grace when the last requests are cut off.
+	exitMargin = 500 * time.Millisecond
+)
+
+// Gateway is a running gateway.
+type Gateway struct {
+	cfg    config.Gateway
+	log    *logrus.Entry
+	srv    *http.Server
+	pages  *httpd.Server
+	pass   *pass.Handler
+	ready  atomic.Bool
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// StartGateway starts a gateway.
+func StartGateway(cfg config.Gateway, src PlatformStore, names pass.Headers, reg *prometheus.Registry, log *logrus.Entry) (*Gateway, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &Gateway{cfg: cfg, log: log, cancel: cancel}
+	fail := func(err error) (*Gateway, error) {
+		cancel()
+		return nil, err
+	}
+	var d *desk.Desk
+	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, Retry: storeRetry},
+		func(v *watch.View) { d.Refresh(v) }, log)
+	d, err := desk.New(desk.Settings{
+		Name: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, AskEvery: askEvery, SayEvery: sayEvery,
+	}, w.View, lease.New(src, lease.Settings{Key: "planner", Holder: cfg.Listen.Datagrams, Term: cfg.Store.LeaseTerm, Margin: orderDelay}), log)
+	if err != nil {
+		return fail(err)
+	}
+	g.pass = pass.New(pass.Settings{
+		Names: names, Zone: cfg.FailureDomain, ConfigStale: configStale,
+		Again: again.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
+	}, w.View, d, hop.NewPool(dialTimeout), pass.NewMetrics(reg), log)
+	d.SetUsed(g.pass.Used)
+
+	r := mux.NewRouter()
+	httpd.Pages(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsAt.IsZero() }, reg)
+	if g.pages, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
+		return fail(err)
+	}
+	l, err := net.Listen("tcp", cfg.Listen.Callers)
+	if err != nil {
+		g.pages.Close()
+		return fail(fmt.Errorf("listen on %s: %w; choose a free address", cfg.Listen.Callers, err))
+	}
+	g.srv = &http.Server{
+		Handler: g.pass, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(serverLog{log}, "", 0),
+	}
+	g.ready.Store(true)
+	g.wg.Go(func() {
+		if err := g.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.WithError(err).Error("the listener for callers ended")
+		}
+	})
+	g.wg.Go(func() { w.Run(ctx) })
+	g.wg.Go(func() { d.Run(ctx) })
+	g.wg.Go(func() {
+		tick := time.NewTicker(tidyEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				g.pass.Tidy()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	log.WithFields(logrus.Fields{"callers": cfg.Listen.Callers, "ready": cfg.Listen.Ready}).Info("gateway started")
+	return g, nil
+}
+
+// serverLog passes the HTTP server's complaints on.
+type serverLog struct{ log *logrus.Entry }
+
+var _ io.Writer = serverLog{}
+
+func (s serverLog) Write(p []byte) (int, error) {
+	s.log.WithField("server", string(p)).Debug("the HTTP server complained")
+	return len(p), nil
+}
+
+// Stop says that the gateway isn't ready, goes on until the balancer has noticed, and ends
+// once every request has ended or the grace is over.
+func (g *Gateway) Stop() {
+	began := time.Now()
+	g.ready.Store(false)
+	g.pass.Drain()
+	g.log.Info("gateway stopping")
+	time.Sleep(g.cfg.Leave.Unready)
+	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Leave.Grace-exitMargin-time.Since(began))
+	defer cancel()
+	if err := g.srv.Shutdown(ctx); err != nil {
+		g.log.WithError(err).Warn("requests were cut off at the end of the grace")
+		if err := g.srv.Close(); err != nil {
+			g.log.WithError(err).Debug("close the listener for callers")
+		}
+	}
+	g.cancel()
+	g.pages.Close()
+	g.wg.Wait()
+	g.log.Info("gateway stopped")
+}
--- /dev/null
+++ b/internal/node/keeper.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/config"
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/transport/keep"
+)
+
+const (
+	// reportEvery is the pause between reports of an engine, which are free on its host.
+	reportEvery = 100 * time.Millisecond
+	// stateSpacing and stateEvery bound the pauses between states sent to gateways.
+	stateSpacing, stateEvery = 200 * time.Millisecond, time.Second
+	// EngineTimeout bounds a call of the engine on a keeper's own host.
+	EngineTimeout = 400 * time.Millisecond
+)
+
+// Keeper is a running keeper.
+type Keeper struct {
+	log    *logrus.Entry
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// StartKeeper starts a keeper.
+func StartKeeper(cfg config.Keeper, engine keep.Engine, src watch.Source, log *logrus.Entry) (*Keeper, error) {
+	k, err := keep.New(keep.Settings{
+		Holder: cfg.ID, Service: cfg.Endpoint.Service, Address: cfg.Endpoint.Address, Listen: cfg.Listen.Datagrams,
+		Poll: reportEvery, Spacing: stateSpacing, Heartbeat: stateEvery,
+	}, engine, src, log)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Keeper{log: log, cancel: cancel}
+	n.wg.Go(func() { k.Run(ctx) })
+	log.WithFields(logrus.Fields{"endpoint": cfg.Endpoint.Address, "service": cfg.Endpoint.Service}).Info("keeper started")
+	return n, nil
+}
+
+// Stop ends the keeper. What it ordered stays; the next keeper reads it from the engine.
+func (n *Keeper) Stop() {
+	n.cancel()
+	n.wg.Wait()
+	n.log.Info("keeper stopped")
+}
--- /dev/null
+++ b/internal/protocol/beat/beat.go
@@ -0,0 +1,142 @@
+package beat
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxBytes bounds a datagram, so that it fits one packet of a local network with room to spare.
+const MaxBytes = 8192
+
+// Message is one of *Ask, *State and *Demand.
+type Message interface{ kind() byte }
+
+// Ask is what a gateway wants of a keeper; it is also a subscription to its states.
+type Ask struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Gateway names the sender.
+	Gateway string
+	// Endpoint and Born name the incarnation of the endpoint that the gateway means.
+	Endpoint string
+	Born     int64
+	// Engine identifies the engine's part of the configuration at the gateway.
+	Engine uint64
+	// Used are the names asked for on the endpoint since the last ask.
+	Used []string
+	// Want are adapters that a request waits for.
+	Want []string
+	// Move is a planner's order, or nil.
+	Move *Move
+}
+
+// Move tells a keeper to change the models of its endpoint.
+type Move struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Term orders planners; a keeper follows the highest that it has seen.
+	Term uint64
+	// ID is unique in a term and increases.
+	ID   uint64
+	Drop []string
+	Load string
+}
+
+// State is the state of an endpoint.
+type State struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	// Address is the endpoint's.
+	Address string
+	// Endpoint is the id under which the keeper knows it, empty when none was told.
+	Endpoint string
+	Born     int64
+	// Life and Number order the states of one keeper.
+	Life   int64
+	Number uint64
+
+	Alive            bool
+	Running, Waiting int
+	Reading          int
+	CacheUsed, Cache int
+	Sequence         int64
+	Busy             bool
+	Models           []Model
+	Pending          []string
+	InMemory, OnDisk []string
+	// Doing is the newest move's term and id, and whether it has ended.
+	Term, Move uint64
+	Done       bool
+	// Gateways is the number of gateways that ask this keeper.
+	Gateways int
+}
+
+// Model is a resident model with its adapters.
+type Model struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Name     string
+	Version  int
+	Adapters []string
+}
+
+// Demand is what a gateway sees of the demand for models.
+type Demand struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Gateway  string
+	Life     int64
+	Number   uint64
+	Models   []ModelDemand
+}
+
+// ModelDemand is the demand for one model at one gateway.
+type ModelDemand struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	Service  string
+	Model    string
+	// Work is the time in seconds that an endpoint needs for a second's requests.
+	Work float64
+	// Waiting counts requests that no endpoint could take for want of the model.
+	Waiting int
+}
+
+func (*Ask) kind() byte    { return 1 }
+func (*State) kind() byte  { return 2 }
+func (*Demand) kind() byte { return 3 }
+
+// errMessage means that a datagram is no message of this protocol.
+var errMessage = errors.New("the datagram is no message of this protocol; check what sends to this port")
+
+// Encode returns a message as a datagram.
+func Encode(m Message) ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte(m.kind())
+	if err := msgpack.NewEncoder(&b).Encode(m); err != nil {
+		return nil, fmt.Errorf("encode a message: %w", err)
+	}
+	if b.Len() > MaxBytes {
+		return nil, fmt.Errorf("a message of %d bytes is over the limit of %d", b.Len(), MaxBytes)
+	}
+	return b.Bytes(), nil
+}
+
+// Decode returns the message of a datagram.
+func Decode(data []byte) (Message, error) {
+	if len(data) == 0 {
+		return nil, errMessage
+	}
+	var m Message
+	switch data[0] {
+	case (*Ask)(nil).kind():
+		m = &Ask{}
+	case (*State)(nil).kind():
+		m = &State{}
+	case (*Demand)(nil).kind():
+		m = &Demand{}
+	default:
+		return nil, errMessage
+	}
+	if err := msgpack.Unmarshal(data[1:], m); err != nil {
+		return nil, fmt.Errorf("%w: %w", errMessage, err)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/report/async.go
@@ -0,0 +1,81 @@
+package report
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Async is a writer that never blocks its caller: lines that its reader is too slow for
+// are dropped and counted.
+type Async struct {
+	w       io.Writer
+	lines   chan []byte
+	quit    chan struct{}
+	done    chan struct{}
+	once    sync.Once
+	dropped prometheus.Counter
+}
+
+// NewAsync returns a writer that holds at most n lines that wait for w.
+func NewAsync(w io.Writer, n int, reg prometheus.Registerer) *Async {
+	a := &Async{
+		w: w, lines: make(chan []byte, n), quit: make(chan struct{}), done: make(chan struct{}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilhead_log_lines_dropped_total", Help: "Log lines that were dropped because the output was too slow.",
+		}),
+	}
+	reg.MustRegister(a.dropped)
+	go a.run()
+	return a
+}
+
+// maxBatch bounds the bytes of one write.
+const maxBatch = 32 << 10
+
+func (a *Async) run() {
+	defer close(a.done)
+	var batch []byte
+	for {
+		select {
+		case l := <-a.lines:
+			batch = append(batch[:0], l...)
+		case <-a.quit:
+			batch = batch[:0]
+			if len(a.lines) == 0 {
+				return
+			}
+		}
+		// What waits goes out in one write.
+		for len(a.lines) > 0 && len(batch) < maxBatch {
+			batch = append(batch, <-a.lines...)
+		}
+		if _, err := a.w.Write(batch); err != nil {
+			a.dropped.Inc()
+		}
+	}
+}
+
+// Write takes a line over or drops it.
+func (a *Async) Write(p []byte) (int, error) {
+	select {
+	case a.lines <- append([]byte(nil), p...):
+	default:
+		a.dropped.Inc()
+	}
+	return len(p), nil
+}
+
+// closeTimeout bounds the wait for lines that are still to be written.
+const closeTimeout = 200 * time.Millisecond
+
+// Close writes the lines that wait, as far as the output takes them.
+func (a *Async) Close() {
+	a.once.Do(func() { close(a.quit) })
+	select {
+	case <-a.done:
+	case <-time.After(closeTimeout):
+	}
+}
--- /dev/null
+++ b/internal/state/fleet/endpoint.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Endpoint is one back end as it registered itself.
+type Endpoint struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	// Leaving is set once the endpoint says that it drains.
+	Leaving bool
+	// Notice is the time left to an endpoint that is taken away at short notice; 0 means none.
+	Notice time.Duration
+	// Sequence counts the orders that the endpoint has accepted since its start.
+	Sequence int64
+	// Born is the Unix time of the endpoint's start in milliseconds; it tells
+	// incarnations under one id apart.
+	Born   int64
+	Models []Resident
+}
+
+// Resident is a model that an endpoint holds, with its adapters.
+type Resident struct {
+	Model    string
+	Version  int
+	Adapters []string
+}
+
+// Name is a model, or an adapter of a model.
+type Name struct{ Model, Adapter string }
+
+// ParseName splits the name that a request gives.
+func ParseName(s string) Name {
+	m, a, _ := strings.Cut(s, "/")
+	return Name{Model: m, Adapter: a}
+}
+
+// String returns the name as a request gives it.
+func (n Name) String() string {
+	if n.Adapter == "" {
+		return n.Model
+	}
+	return n.Model + "/" + n.Adapter
+}
+
+// Holds reports whether the model, and whether the adapter too, is in a list of residents.
+func Holds(list []Resident, n Name) (model, whole bool) {
+	for _, r := range list {
+		if r.Model == n.Model {
+			return true, n.Adapter == "" || slices.Contains(r.Adapters, n.Adapter)
+		}
+	}
+	return false, false
+}
+
+// Load is what the keeper beside an endpoint reports of it.
+type Load struct {
+	// At is when the gateway received the report.
+	At time.Time
+	// Born is the start of the incarnation that the report is of.
+	Born int64
+	// Alive is unset when the endpoint doesn't answer its keeper.
+	Alive            bool
+	Running, Waiting int
+	// Reading is the number of requests whose prompts are being read.
+	Reading int
+	// CacheUsed is the memory in tokens that cannot yield, of CacheTotal.
+	CacheUsed, CacheTotal int
+	Sequence              int64
+	// Busy is set while an order is carried out.
+	Busy   bool
+	Models []Resident
+	// Pending are adapters on their way.
+	Pending []Name
+	// InMemory and OnDisk are the models whose weights the host keeps outside the accelerator.
+	InMemory, OnDisk []string
+}
+
+// State is an endpoint with the newest report of its keeper, which may be missing.
+type State struct {
+	Endpoint
+	Load Load
+	// Reported is set once a report has arrived.
+	Reported bool
+}
+
+// Residents returns what the endpoint holds by the newest source.
+func (s State) Residents() []Resident {
+	switch {
+	case !s.Reported || s.Load.Born < s.Born:
+		return s.Models
+	case s.Load.Born > s.Born || s.Load.Sequence >= s.Sequence:
+		return s.Load.Models
+	default:
+		return s.Models
+	}
+}
--- /dev/null
+++ b/internal/state/pick/pick.go
@@ -0,0 +1,251 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/trust"
+)
+
+// Part is a part of a prompt.
+type Part struct {
+	// Chain identifies the part together with the model and all parts before it.
+	Chain  uint64
+	Tokens int
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service string
+	// Name is empty for a plain service.
+	Name  fleet.Name
+	Parts []Part
+	// Shared is the number of parts that other requests have too.
+	Shared int
+	// Output is the largest number of tokens of the answer.
+	Output int
+	// Zone is the gateway's failure domain.
+	Zone string
+	// Tried are endpoints that are left out.
+	Tried []string
+}
+
+// Tokens returns the tokens of the whole prompt.
+func (r Request) Tokens() int {
+	n := 0
+	for _, p := range r.Parts {
+		n += p.Tokens
+	}
+	return n
+}
+
+// Candidate is an endpoint with what the gateway knows of it.
+type Candidate struct {
+	State fleet.State
+	// Slots is the number of requests that run at once.
+	Slots int
+	// InFlight are this gateway's requests there; Unread are the prompt tokens of those
+	// without a first token.
+	InFlight, Reading, Unread int
+	// Cached is the number of leading tokens of the prompt that the endpoint keeps.
+	Cached int
+	Trust  trust.Record
+}
+
+// Model says how time is estimated.
+type Model struct {
+	// PerToken is the time to read one prompt token.
+	PerToken time.Duration
+	// MeanUnread is the mean number of tokens that a request has to read.
+	MeanUnread int
+	// Work is the mean time of a request at a plain service.
+	Work time.Duration
+}
+
+// Choice is the endpoint chosen.
+type Choice struct {
+	ID string
+	// Estimate is the time to the first token, or to the answer of a plain service.
+	Estimate time.Duration
+	// Fetch is set when the endpoint has to fetch the adapter first.
+	Fetch bool
+	// Candidates counts the endpoints that could take the request.
+	Candidates int
+	// Unread is the number of tokens that the endpoint has to read.
+	Unread int
+}
+
+// The weights of the choice. Times that are no estimate order equal endpoints.
+const (
+	// otherDomain is the cost of another failure domain: the way there and back, and its
+	// priced bytes, which are worth some milliseconds of work.
+	otherDomain = 5 * time.Millisecond
+	// perRunning is the longer step for each running request.
+	perRunning = 100 * time.Microsecond
+	// fetchAdapter is the time to order an adapter and to wait for it.
+	fetchAdapter = 15 * time.Millisecond
+	// evictAdapter is added where another adapter has to make way.
+	evictAdapter = 10 * time.Millisecond
+	// failCost is the cost of a request that fails and is sent again.
+	failCost = 600 * time.Millisecond
+	// fullWait is the wait for a place in a full batch: a part of a typical run.
+	fullWait = 300 * time.Millisecond
+	// homeShare is the part of the shared prompt that the home of a prompt is thought to
+	// keep when the gateway has not seen it itself, because all gateways share homes.
+	homeShare = 0.6
+	// memoryFull is the share of an engine's memory beyond which requests are preempted.
+	memoryFull = 0.92
+	// stale is the age at which a keeper's report counts half.
+	stale = 600 * time.Millisecond
+)
+
+// Best returns the best endpoint for a request, or false when none can take it.
+func Best(req Request, list []Candidate, m Model, now time.Time, adapterSlots int, draw func() float64) (Choice, bool) {
+	var best Choice
+	bestCost := time.Duration(0)
+	n := 0
+	home := Home(req, list)
+	for _, c := range list {
+		if !usable(req, c, now) {
+			continue
+		}
+		n++
+		var ch Choice
+		var cost time.Duration
+		if req.Name.Model == "" {
+			ch, cost = plain(req, c, m, now)
+			// Gateways don't see each other's requests; a draw keeps them apart.
+			cost += time.Duration(draw() * float64(m.Work) / 4)
+		} else {
+			ch, cost = engine(req, c, m, now, adapterSlots, home)
+		}
+		if n == 1 || cost < bestCost {
+			best, bestCost = ch, cost
+		}
+	}
+	best.Candidates = n
+	return best, n > 0
+}
+
+func usable(req Request, c Candidate, now time.Time) bool {
+	if c.State.Leaving || c.State.Service != req.Service || !c.Trust.Reachable(now) {
+		return false
+	}
+	for _, id := range req.Tried {
+		if id == c.State.ID {
+			return false
+		}
+	}
+	if c.State.Reported && !c.State.Load.Alive && now.Sub(c.State.Load.At) < 2*stale {
+		return false
+	}
+	if req.Name.Model == "" {
+		return true
+	}
+	model, _ := fleet.Holds(c.State.Residents(), req.Name)
+	return model
+}
+
+func plain(req Request, c Candidate, m Model, now time.Time) (Choice, time.Duration) {
+	slots := max(1, c.Slots)
+	wait := time.Duration(float64(m.Work) * float64(c.InFlight) / float64(slots))
+	if c.InFlight >= slots {
+		wait += m.Work
+	}
+	est := time.Duration(float64(m.Work+wait) * c.Trust.Pace(now))
+	cost := est + time.Duration(c.Trust.Failing(now)*float64(failCost))
+	if c.State.Zone != req.Zone {
+		cost += otherDomain
+	}
+	return Choice{ID: c.State.ID, Estimate: est}, cost
+}
+
+func engine(req Request, c Candidate, m Model, now time.Time, adapterSlots int, home string) (Choice, time.Duration) {
+	total := req.Tokens()
+	cached := min(c.Cached, total)
+	if c.State.ID == home {
+		shared := 0
+		for _, p := range req.Parts[:req.Shared] {
+			shared += p.Tokens
+		}
+		cached = max(cached, int(homeShare*float64(shared)))
+	}
+	unread := total - cached
+	backlog := c.Unread
+	if l := c.State.Load; c.State.Reported {
+		// The report counts this gateway's requests too; those not yet in it are few.
+		others := max(0, l.Reading+l.Waiting-c.Reading)
+		w := 1 / (1 + float64(now.Sub(l.At))/float64(stale))
+		backlog += int(w * float64(others*m.MeanUnread))
+	}
+	est := time.Duration(backlog+unread) * m.PerToken
+	running := max(c.InFlight, c.State.Load.Running)
+	est += time.Duration(running) * perRunning
+	if running >= c.Slots && c.Slots > 0 {
+		est += fullWait
+	}
+	if l := c.State.Load; c.State.Reported && l.CacheTotal > 0 {
+		after := float64(l.CacheUsed+unread+req.Output) / float64(l.CacheTotal)
+		if after > memoryFull {
+			est += time.Duration((after - memoryFull) * float64(10*fullWait))
+		}
+	}
+	_, whole := fleet.Holds(c.State.Residents(), req.Name)
+	if !whole {
+		est += fetchAdapter
+		if adapters(c.State) >= adapterSlots {
+			est += evictAdapter
+		}
+	}
+	est = time.Duration(float64(est) * c.Trust.Pace(now))
+	cost := est + time.Duration(c.Trust.Failing(now)*float64(failCost))
+	if c.State.Zone != req.Zone {
+		cost += otherDomain
+	}
+	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread}, cost
+}
+
+func adapters(s fleet.State) int {
+	n := len(s.Load.Pending)
+	for _, r := range s.Residents() {
+		n += len(r.Adapters)
+	}
+	return n
+}
+
+// Home returns the endpoint that all gateways prefer for a prompt's shared beginning,
+// or for an adapter, among those that hold the model.
+func Home(req Request, list []Candidate) string {
+	if req.Name.Model == "" {
+		return ""
+	}
+	key := xxhash.Sum64String(req.Name.String())
+	if req.Shared > 0 && req.Shared <= len(req.Parts) {
+		key = req.Parts[req.Shared-1].Chain
+	}
+	var best string
+	var most uint64
+	for _, c := range list {
+		if c.State.Leaving || c.State.Service != req.Service {
+			continue
+		}
+		if model, _ := fleet.Holds(c.State.Residents(), req.Name); !model {
+			continue
+		}
+		if h := mix(xxhash.Sum64String(c.State.ID) ^ key); best == "" || h > most {
+			best, most = c.State.ID, h
+		}
+	}
+	return best
+}
+
+// mix spreads a hash over all its bits (the finalizer of splitmix64).
+func mix(h uint64) uint64 {
+	h ^= h >> 30
+	h *= 0xbf58476d1ce4e5b9
+	h ^= h >> 27
+	h *= 0x94d049bb133111eb
+	return h ^ h>>31
+}
--- /dev/null
+++ b/internal/state/pick/prompt.go
@@ -0,0 +1,53 @@
+package pick
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chervilhead/internal/state/fleet"
+)
+
+// maxParts bounds the parts of a prompt that are told apart.
+const maxParts = 16
+
+// Parts decodes a prompt's parts, ID:TOKENS with commas between. Each part's chain
+// covers the model, because engines keep prompts by model.
+func Parts(name fleet.Name, s string) []Part {
+	if s == "" {
+		return nil
+	}
+	var out []Part
+	chain := xxhash.Sum64String(name.String())
+	for field := range strings.SplitSeq(s, ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(field), ":")
+		n, err := strconv.Atoi(tokens)
+		if !ok || err != nil || n < 0 || len(out) == maxParts {
+			break
+		}
+		var b [8]byte
+		binary.LittleEndian.PutUint64(b[:], chain)
+		d := xxhash.New()
+		_, _ = d.Write(b[:])
+		_, _ = d.WriteString(id)
+		chain = d.Sum64()
+		out = append(out, Part{Chain: chain, Tokens: n})
+	}
+	return out
+}
+
+// Counts decodes the numbers of prompt tokens and of output tokens at most.
+func Counts(s string) (prompt, output int) {
+	a, b, _ := strings.Cut(s, ",")
+	prompt, err := strconv.Atoi(strings.TrimSpace(a))
+	if err != nil || prompt < 0 {
+		return 0, 0
+	}
+	output, err = strconv.Atoi(strings.TrimSpace(b))
+	if err != nil || output < 0 {
+		return prompt, 0
+	}
+	return prompt, output
+}
--- /dev/null
+++ b/internal/transport/desk/desk.go
@@ -0,0 +1,344 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/beat"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/transport/pass"
+)
+
+// Settings shape a desk.
+type Settings struct {
+	// Name is the gateway's, Listen its address for datagrams.
+	Name, Listen string
+	// KeeperPort is the port of keepers for datagrams; they run on the endpoints' hosts.
+	KeeperPort int
+	// AskEvery is the pause between subscriptions; SayEvery that between reports of demand.
+	AskEvery, SayEvery time.Duration
+}
+
+const (
+	// fetchAgain is the pause before an ask for an adapter is sent again.
+	fetchAgain = 40 * time.Millisecond
+	// silent is the age from which a keeper's report is no longer used.
+	silent = 3 * time.Second
+	// defaultGateways is the number of gateways before a keeper has told one.
+	defaultGateways = 8
+)
+
+// report is the newest state of one keeper.
+type report struct {
+	load         fleet.Load
+	life         int64
+	number       uint64
+	doing        order
+	endpoint     string
+	gateways     int
+	asked        map[string]struct{}
+	lastModified time.Time
+}
+
+// order is a planner's order at a keeper.
+type order struct {
+	term, id uint64
+	done     bool
+}
+
+// Desk holds the states of keepers.
+type Desk struct {
+	cfg  Settings
+	view func() *watch.View
+	used func(id string) []string
+	conn net.PacketConn
+	log  *logrus.Entry
+
+	mu sync.Mutex
+	// reports are by address of the endpoint.
+	reports map[string]*report
+	changed chan struct{}
+	demand  *demand
+	planner *planner
+	snap    atomic.Pointer[[]fleet.State]
+	hash    specHash
+}
+
+var _ pass.Fleet = (*Desk)(nil)
+
+// New returns a desk that listens for datagrams. used returns what was asked for on an
+// endpoint since the last call.
+func New(cfg Settings, view func() *watch.View, lease Lease, log *logrus.Entry) (*Desk, error) {
+	conn, err := net.ListenPacket("udp4", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
+	}
+	d := &Desk{
+		cfg: cfg, view: view, used: func(string) []string { return nil }, conn: conn, log: log,
+		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemand(),
+	}
+	d.planner = newPlanner(d, lease)
+	empty := []fleet.State{}
+	d.snap.Store(&empty)
+	return d, nil
+}
+
+// SetUsed sets where the desk learns what was asked for on an endpoint since it asked last.
+func (d *Desk) SetUsed(used func(id string) []string) { d.used = used }
+
+// Run serves the desk until the context ends.
+func (d *Desk) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = d.conn.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.receive(ctx) })
+	wg.Go(func() { d.planner.run(ctx) })
+	wg.Go(func() {
+		tick := time.NewTicker(d.cfg.AskEvery)
+		defer tick.Stop()
+		for {
+			d.askAll()
+			select {
+			case <-tick.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	wg.Wait()
+}
+
+// States returns all endpoints with the newest reports of their keepers.
+func (d *Desk) States() []fleet.State { return *d.snap.Load() }
+
+// Refresh takes over a new view of the store.
+func (d *Desk) Refresh(*watch.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rebuild(true)
+}
+
+// rebuild makes the snapshot anew; holdings says whether waiting requests should look again.
+func (d *Desk) rebuild(holdings bool) {
+	v := d.view()
+	now := time.Now()
+	out := make([]fleet.State, 0, len(v.Endpoints))
+	addrs := make(map[string]bool, len(v.Endpoints))
+	for _, e := range v.Endpoints {
+		addrs[e.Address] = true
+		s := fleet.State{Endpoint: e}
+		if r, ok := d.reports[e.Address]; ok && now.Sub(r.load.At) < silent && (r.load.Born >= e.Born || r.load.Born == 0) {
+			s.Load, s.Reported = r.load, true
+		}
+		out = append(out, s)
+	}
+	for a := range d.reports {
+		if !addrs[a] && now.Sub(d.reports[a].load.At) > silent {
+			delete(d.reports, a)
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.State) int { return compare(a.ID, b.ID) })
+	d.snap.Store(&out)
+	if holdings {
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// keeperAddr returns the address of the keeper beside an endpoint.
+func (d *Desk) keeperAddr(e fleet.Endpoint) (net.Addr, error) {
+	ap, err := netip.ParseAddrPort(e.Address)
+	if err != nil {
+		return nil, fmt.Errorf("the address of endpoint %s: %w", e.ID, err)
+	}
+	return net.UDPAddrFromAddrPort(netip.AddrPortFrom(ap.Addr(), uint16(d.cfg.KeeperPort))), nil
+}
+
+// engineOf returns the engine of an endpoint's service, nil for a plain one.
+func (d *Desk) engineOf(v *watch.View, e fleet.Endpoint) *fleet.Engine {
+	if !v.HasConfig {
+		return nil
+	}
+	s, ok := v.Config.Service(e.Service)
+	if !ok {
+		return nil
+	}
+	return s.Engine
+}
+
+func (d *Desk) askAll() {
+	v := d.view()
+	for _, e := range v.Endpoints {
+		if spec := d.engineOf(v, e); spec != nil {
+			d.ask(e, &beat.Ask{Used: d.used(e.ID), Engine: d.specHash(v.Config.Version, e.Service, spec)})
+		}
+	}
+}
+
+func (d *Desk) ask(e fleet.Endpoint, a *beat.Ask) {
+	a.Gateway, a.Endpoint, a.Born = d.cfg.Name, e.ID, e.Born
+	addr, err := d.keeperAddr(e)
+	if err == nil {
+		var data []byte
+		if data, err = beat.Encode(a); err == nil {
+			_, err = d.conn.WriteTo(data, addr)
+		}
+	}
+	if err != nil {
+		d.log.WithError(err).WithField("endpoint", e.ID).Debug("an ask was not sent")
+	}
+}
+
+func (d *Desk) receive(ctx context.Context) {
+	buf := make([]byte, beat.MaxBytes)
+	for {
+		n, from, err := d.conn.ReadFrom(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			d.log.WithError(err).Warn("a datagram could not be read")
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		m, err := beat.Decode(buf[:n])
+		if err != nil {
+			d.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
+			continue
+		}
+		switch m := m.(type) {
+		case *beat.State:
+			d.take(m)
+		case *beat.Demand:
+			d.planner.take(m)
+		}
+	}
+}
+
+// take takes over a keeper's state.
+func (d *Desk) take(m *beat.State) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.reports[m.Address]
+	if !ok {
+		r = &report{}
+		d.reports[m.Address] = r
+	}
+	if m.Life < r.life || m.Life == r.life && m.Number <= r.number {
+		return
+	}
+	load := fleet.Load{
+		At: time.Now(), Born: m.Born, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Reading: m.Reading,
+		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk,
+	}
+	for _, x := range m.Models {
+		load.Models = append(load.Models, fleet.Resident{Model: x.Name, Version: x.Version, Adapters: x.Adapters})
+	}
+	for _, p := range m.Pending {
+		load.Pending = append(load.Pending, fleet.ParseName(p))
+	}
+	holdings := load.Sequence != r.load.Sequence || load.Alive != r.load.Alive || load.Busy != r.load.Busy || len(load.Models) != len(r.load.Models) || len(load.Pending) > 0
+	r.life, r.number, r.load, r.endpoint, r.gateways = m.Life, m.Number, load, m.Endpoint, m.Gateways
+	r.doing = order{m.Term, m.Move, m.Done}
+	d.rebuild(holdings)
+}
+
+// errFetch means that an adapter did not come.
+var errFetch = errors.New("the adapter was not loaded in time")
+
+// Fetch asks the keeper of an endpoint for an adapter and waits until it is there.
+func (d *Desk) Fetch(ctx context.Context, e fleet.Endpoint, name fleet.Name) error {
+	v := d.view()
+	spec := d.engineOf(v, e)
+	if spec == nil {
+		return errFetch
+	}
+	for {
+		d.mu.Lock()
+		changed := d.changed
+		d.mu.Unlock()
+		for _, s := range d.States() {
+			if s.ID == e.ID {
+				if _, whole := fleet.Holds(s.Residents(), name); whole {
+					return nil
+				}
+			}
+		}
+		d.ask(e, &beat.Ask{Want: []string{name.String()}, Engine: d.specHash(v.Config.Version, e.Service, spec)})
+		if err := wait(ctx, changed, fetchAgain); err != nil {
+			return fmt.Errorf("%w: %w", errFetch, err)
+		}
+	}
+}
+
+// Await waits until an endpoint of a service holds a model.
+func (d *Desk) Await(ctx context.Context, service, model string) error {
+	defer d.demand.wait(service, model)()
+	d.say()
+	for {
+		d.mu.Lock()
+		changed := d.changed
+		d.mu.Unlock()
+		for _, s := range d.States() {
+			if held, _ := fleet.Holds(s.Residents(), fleet.Name{Model: model}); held && s.Service == service && !s.Leaving {
+				return nil
+			}
+		}
+		if err := wait(ctx, changed, d.cfg.SayEvery); err != nil {
+			return fmt.Errorf("wait for model %s: %w", model, err)
+		}
+	}
+}
+
+// wait waits for a change, for some time at most; it fails only when the context ends.
+func wait(ctx context.Context, changed <-chan struct{}, most time.Duration) error {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// Asked notes demand for a model.
+func (d *Desk) Asked(service, model string, read, made int) {
+	d.demand.add(service, model, read, made, time.Now())
+}
+
+// Gateways returns the number of gateways that keepers see.
+func (d *Desk) Gateways() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, r := range d.reports {
+		n = max(n, r.gateways)
+	}
+	if n == 0 {
+		return defaultGateways
+	}
+	return n
+}
--- /dev/null
+++ b/internal/transport/desk/planner.go
@@ -0,0 +1,333 @@
+package desk
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/lease"
+	"chervilhead/internal/protocol/beat"
+	"chervilhead/internal/state/copies"
+	"chervilhead/internal/state/fleet"
+)
+
+// Lease grants the planner's authority; the holder's name is its address for datagrams.
+type Lease interface {
+	Refresh(ctx context.Context, info json.RawMessage) error
+	// Valid returns the fencing token while the lease is in force, which it is until Until.
+	Valid(now time.Time) (uint64, bool)
+	Until() time.Time
+	// Holder returns the holder at the last refresh.
+	Holder() string
+	Release(ctx context.Context) error
+}
+
+const (
+	// leaseEvery is the pause between refreshes, a third of the lease's term.
+	leaseEvery = 1200 * time.Millisecond
+	// planEvery is the pause between decisions.
+	planEvery = 150 * time.Millisecond
+	// moveTimeout is how long an order under way keeps its endpoint from another one.
+	moveTimeout = 20 * time.Second
+	// moveAgain is the pause before an order that the keeper hasn't confirmed is sent again.
+	moveAgain = 150 * time.Millisecond
+	// demandFor is how long a gateway's report of demand counts.
+	demandFor = 4 * time.Second
+	// settle is how long a new planner listens before it decides.
+	settle = 1500 * time.Millisecond
+	// loadShare is the share of the weight store's rate that is used; the platform's
+	// bound is over sliding windows, and an order may start late.
+	loadShare = 0.9
+	// loadBurst is the number of loads that may begin at once.
+	loadBurst = 2
+)
+
+type gatewayDemand struct {
+	at     time.Time
+	life   int64
+	number uint64
+	models []beat.ModelDemand
+}
+
+type underway struct {
+	move copies.Move
+	id   uint64
+	at   time.Time
+	sent time.Time
+}
+
+// planner decides while this gateway holds the lease.
+type planner struct {
+	desk  *Desk
+	lease Lease
+	life  int64
+
+	mu      sync.Mutex
+	heard   map[string]gatewayDemand
+	moves   map[string]*underway
+	since   time.Time
+	term    uint64
+	until   time.Time
+	holder  string
+	lastID  uint64
+	tokens  float64
+	tokenAt time.Time
+	number  uint64
+}
+
+func newPlanner(d *Desk, l Lease) *planner {
+	return &planner{desk: d, lease: l, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}}
+}
+
+func (p *planner) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { p.hold(ctx) })
+	wg.Go(func() {
+		tick := time.NewTicker(p.desk.cfg.SayEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				p.desk.say()
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			p.plan(time.Now())
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		}
+	}
+}
+
+// hold keeps the lease or waits for it.
+func (p *planner) hold(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := p.refresh(ctx)
+		if err != nil && !errors.Is(err, lease.ErrHeld) && ctx.Err() == nil {
+			p.desk.log.WithError(err).Debug("the planner's lease was not refreshed")
+		}
+		t := time.NewTimer(leaseEvery)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := p.lease.Release(release); err != nil {
+		p.desk.log.WithError(err).Info("the planner's lease was not given up; another gateway waits for its term")
+	}
+}
+
+func (p *planner) refresh(ctx context.Context) error {
+	err := p.lease.Refresh(ctx, nil)
+	term, held := p.lease.Valid(time.Now())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holder, p.until = p.lease.Holder(), time.Time{}
+	if held {
+		p.until = p.lease.Until()
+	}
+	if held && term != p.term {
+		p.desk.log.WithField("term", term).Info("this gateway plans")
+		p.term, p.since = term, time.Now()
+		p.moves = map[string]*underway{}
+		p.tokens, p.tokenAt = 0, time.Now()
+	}
+	return err
+}
+
+// take takes over what a gateway says of its demand.
+func (p *planner) take(m *beat.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.heard[m.Gateway]
+	if m.Life < old.life || m.Life == old.life && m.Number <= old.number {
+		return
+	}
+	p.heard[m.Gateway] = gatewayDemand{at: time.Now(), life: m.Life, number: m.Number, models: m.Models}
+}
+
+// say tells the planner the demand at this gateway.
+func (d *Desk) say() {
+	p := d.planner
+	p.mu.Lock()
+	p.number++
+	m := &beat.Demand{Gateway: d.cfg.Name, Life: p.life, Number: p.number, Models: d.demand.list(time.Now())}
+	holder := p.holder
+	p.mu.Unlock()
+	if holder == "" || holder == d.cfg.Listen {
+		p.take(m)
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp4", holder)
+	if err == nil {
+		var data []byte
+		if data, err = beat.Encode(m); err == nil {
+			_, err = d.conn.WriteTo(data, addr)
+		}
+	}
+	if err != nil {
+		d.log.WithError(err).WithField("planner", holder).Debug("the demand was not told")
+	}
+}
+
+// plan gives the next orders.
+func (p *planner) plan(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !now.Before(p.until) {
+		return
+	}
+	v := p.desk.view()
+	reports := p.desk.reportsNow()
+	p.confirm(reports, now)
+	if now.Sub(p.since) < settle || !v.HasConfig {
+		return
+	}
+	for name, svc := range v.Config.Services() {
+		if svc.Engine == nil {
+			continue
+		}
+		rate := svc.Engine.LoadsPerSecond * loadShare
+		p.tokens = min(loadBurst, p.tokens+rate*now.Sub(p.tokenAt).Seconds())
+		p.tokenAt = now
+		demand := p.total(name, now)
+		for range maxMoves {
+			m, ok := copies.Next(svc.Engine, p.hosts(name, svc.Engine, reports, now), demand, p.tokens >= 1)
+			if !ok {
+				break
+			}
+			if m.Far {
+				p.tokens--
+			}
+			p.lastID++
+			u := &underway{move: m, id: p.lastID, at: now}
+			p.moves[m.Host] = u
+			p.desk.log.WithFields(logrus.Fields{
+				"term": p.term, "move": u.id, "endpoint": m.Host, "drop": m.Drop, "load": m.Load, "from_store": m.Far,
+				"reason": m.Reason, "work": demand[m.Load].Work, "waiting": demand[m.Load].Waiting,
+			}).Info("a model moves")
+			p.send(u, now)
+		}
+	}
+}
+
+// maxMoves bounds the orders of one decision.
+const maxMoves = 4
+
+func (p *planner) total(service string, now time.Time) map[string]copies.Demand {
+	out := map[string]copies.Demand{}
+	for g, h := range p.heard {
+		if now.Sub(h.at) > demandFor {
+			delete(p.heard, g)
+			continue
+		}
+		for _, m := range h.models {
+			if m.Service == service {
+				d := out[m.Model]
+				d.Work += m.Work
+				d.Waiting += m.Waiting
+				out[m.Model] = d
+			}
+		}
+	}
+	return out
+}
+
+// confirm ends orders that keepers have carried out and repeats those that none has confirmed.
+func (p *planner) confirm(reports map[string]keeperState, now time.Time) {
+	for id, u := range p.moves {
+		r, ok := reports[id]
+		if ok && r.doing.term == p.term && r.doing.id >= u.id {
+			if r.doing.done || r.doing.id > u.id {
+				delete(p.moves, id)
+			}
+			continue
+		}
+		if now.Sub(u.at) > moveTimeout || !ok {
+			delete(p.moves, id)
+			continue
+		}
+		if now.Sub(u.sent) > moveAgain {
+			p.send(u, now)
+		}
+	}
+}
+
+func (p *planner) send(u *underway, now time.Time) {
+	u.sent = now
+	v := p.desk.view()
+	e, ok := v.Endpoints[u.move.Host]
+	spec := p.desk.engineOf(v, e)
+	if !ok || spec == nil {
+		return
+	}
+	p.desk.ask(e, &beat.Ask{
+		Engine: p.desk.specHash(v.Config.Version, e.Service, spec),
+		Move:   &beat.Move{Term: p.term, ID: u.id, Drop: u.move.Drop, Load: u.move.Load},
+	})
+}
+
+// keeperState is an endpoint with its keeper's newest state.
+type keeperState struct {
+	state fleet.State
+	doing order
+}
+
+// reportsNow returns the endpoints whose keepers reported lately, by id.
+func (d *Desk) reportsNow() map[string]keeperState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := map[string]keeperState{}
+	for _, s := range *d.snap.Load() {
+		if r, ok := d.reports[s.Address]; ok && s.Reported {
+			out[s.ID] = keeperState{state: s, doing: r.doing}
+		}
+	}
+	return out
+}
+
+func (p *planner) hosts(service string, spec *fleet.Engine, reports map[string]keeperState, now time.Time) []copies.Host {
+	var out []copies.Host
+	for _, s := range p.desk.States() {
+		if s.Service != service {
+			continue
+		}
+		_, reported := reports[s.ID]
+		h := copies.Host{ID: s.ID, Leaving: s.Leaving, Usable: reported && s.Load.Alive && !s.Load.Busy && now.Sub(s.Load.At) < silent}
+		if reported && !s.Load.Alive {
+			// What a dead engine held is gone.
+			h.Leaving = true
+		}
+		for _, m := range s.Residents() {
+			h.Models = append(h.Models, m.Model)
+			h.AdapterMB += float64(len(m.Adapters)) * spec.Models[m.Model].AdapterMB
+		}
+		h.Near = append(slices.Clone(s.Load.InMemory), s.Load.OnDisk...)
+		if u, ok := p.moves[s.ID]; ok {
+			h.Usable = false
+			h.Models = slices.DeleteFunc(h.Models, func(m string) bool { return slices.Contains(u.move.Drop, m) })
+			if !slices.Contains(h.Models, u.move.Load) {
+				h.Models = append(h.Models, u.move.Load)
+			}
+		}
+		out = append(out, h)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transport/keep/keeper.go
@@ -0,0 +1,277 @@
+package keep
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/beat"
+	"chervilhead/internal/state/fleet"
+)
+
+// Settings shape a keeper.
+type Settings struct {
+	// Holder names the host to the engine.
+	Holder string
+	// Service and Address are those of the engine.
+	Service, Address string
+	// Listen is the address for datagrams.
+	Listen string
+	// Poll is the pause between reports of the engine.
+	Poll time.Duration
+	// Spacing is the pause between states sent to gateways while only the load changes,
+	// Heartbeat the longest pause.
+	Spacing, Heartbeat time.Duration
+}
+
+const (
+	// subscription is how long a gateway's ask counts; it asks several times in that time.
+	subscription = 4 * time.Second
+	// wantFor is how long an adapter is wanted after the last ask for it.
+	wantFor = 500 * time.Millisecond
+	// moveFor is how long a planner's order is followed; a load takes less.
+	moveFor = 20 * time.Second
+	// misses is the number of reports in a row without an answer after which the engine
+	// counts as dead.
+	misses = 2
+	// configRetry is the pause between questions for the configuration.
+	configRetry = 400 * time.Millisecond
+)
+
+type subscriber struct {
+	name string
+	seen time.Time
+}
+
+// Keeper is the keeper of one engine.
+type Keeper struct {
+	cfg    Settings
+	engine Engine
+	src    watch.Source
+	conn   net.PacketConn
+	log    *logrus.Entry
+	wake   chan struct{}
+	life   int64
+
+	mu       sync.Mutex
+	subs     map[string]subscriber
+	addrs    map[string]net.Addr
+	endpoint string
+	report   Report
+	missed   int
+	spec     *fleet.Engine
+	fence    uint64
+	specWant uint64
+	specHave uint64
+	wants    map[fleet.Name]time.Time
+	used     map[fleet.Name]time.Time
+	move     *beat.Move
+	moveAt   time.Time
+	term, id uint64
+	done     bool
+	doubts   []doubt
+	number   uint64
+	sent     beat.State
+	sentAt   time.Time
+}
+
+// New returns a keeper that listens for datagrams.
+func New(cfg Settings, engine Engine, src watch.Source, log *logrus.Entry) (*Keeper, error) {
+	conn, err := net.ListenPacket("udp4", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
+	}
+	return &Keeper{
+		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), life: time.Now().UnixNano(),
+		subs: map[string]subscriber{}, addrs: map[string]net.Addr{},
+		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{},
+	}, nil
+}
+
+// Run keeps the engine until the context ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { k.receive(ctx) })
+	wg.Go(func() { k.followSpec(ctx) })
+	stop := context.AfterFunc(ctx, func() { _ = k.conn.Close() })
+	defer stop()
+	for ctx.Err() == nil {
+		k.poll(ctx)
+		for k.act(ctx) {
+			k.poll(ctx)
+		}
+		t := time.NewTimer(k.cfg.Poll)
+		select {
+		case <-t.C:
+		case <-k.wake:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	wg.Wait()
+}
+
+// poll reads the engine's report and tells the gateways what changed.
+func (k *Keeper) poll(ctx context.Context) {
+	r, err := k.engine.Report(ctx)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		k.missed++
+		if k.missed == misses && ctx.Err() == nil {
+			k.log.WithError(err).Warn("the engine doesn't answer")
+			k.report.Alive = false
+		}
+	} else {
+		if k.missed >= misses {
+			k.log.WithField("missed", k.missed).Info("the engine answers again")
+		}
+		if r.Born != k.report.Born || r.Sequence < k.report.Sequence {
+			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence}).Info("the engine started")
+			k.used = map[fleet.Name]time.Time{}
+		}
+		k.missed, k.report = 0, r
+	}
+	k.tell()
+}
+
+// tell sends the state to the gateways if it changed or the heartbeat is due.
+func (k *Keeper) tell() {
+	st := beat.State{
+		Address: k.cfg.Address, Endpoint: k.endpoint, Born: k.report.Born,
+		Alive: k.report.Alive, Running: k.report.Running, Waiting: k.report.Waiting, Reading: k.report.Reading,
+		CacheUsed: k.report.CacheUsed, Cache: k.report.CacheTotal, Sequence: k.report.Sequence, Busy: k.report.Busy,
+		InMemory: k.report.InMemory, OnDisk: k.report.OnDisk, Term: k.term, Move: k.id, Done: k.done,
+	}
+	for _, m := range k.report.Models {
+		if k.leaving(m.Model) {
+			// Requests that come now would wait for the unload and be turned away.
+			continue
+		}
+		st.Models = append(st.Models, beat.Model{Name: m.Model, Version: m.Version, Adapters: m.Adapters})
+	}
+	for _, p := range k.report.Pending {
+		st.Pending = append(st.Pending, p.String())
+	}
+	now := time.Now()
+	for a, s := range k.subs {
+		if now.Sub(s.seen) > subscription {
+			delete(k.subs, a)
+			delete(k.addrs, a)
+		}
+	}
+	st.Gateways = len(k.subs)
+	if since := now.Sub(k.sentAt); since < k.cfg.Spacing && sameHoldings(st, k.sent) || since < k.cfg.Heartbeat && reflect.DeepEqual(st, k.sent) {
+		return
+	}
+	k.sent, k.sentAt = st, now
+	k.number++
+	st.Life, st.Number = k.life, k.number
+	data, err := beat.Encode(&st)
+	if err != nil {
+		k.log.WithError(err).Error("the state could not be encoded")
+		return
+	}
+	for _, a := range k.addrs {
+		if _, err := k.conn.WriteTo(data, a); err != nil {
+			k.log.WithError(err).WithField("gateway", a.String()).Debug("a state was not sent")
+		}
+	}
+}
+
+// sameHoldings reports whether two states differ in the load only.
+func sameHoldings(a, b beat.State) bool {
+	return a.Alive == b.Alive && a.Born == b.Born && a.Sequence == b.Sequence && a.Busy == b.Busy && a.Done == b.Done && a.Move == b.Move &&
+		a.Gateways == b.Gateways && reflect.DeepEqual(a.Models, b.Models)
+}
+
+// leaving reports whether the planner's order drops a model.
+func (k *Keeper) leaving(model string) bool {
+	return k.move != nil && slices.Contains(k.move.Drop, model)
+}
+
+func (k *Keeper) situation(now time.Time) situation {
+	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, doubts: k.doubts, now: now}
+	for n, at := range k.wants {
+		_, whole := fleet.Holds(k.report.Models, n)
+		if now.Sub(at) > wantFor || whole {
+			delete(k.wants, n)
+			continue
+		}
+		s.wants = append(s.wants, n)
+	}
+	slices.SortFunc(s.wants, func(a, b fleet.Name) int { return k.wants[a].Compare(k.wants[b]) })
+	return s
+}
+
+// act takes the next step; it returns true if the engine's state may have changed.
+func (k *Keeper) act(ctx context.Context) bool {
+	k.mu.Lock()
+	now := time.Now()
+	if k.move != nil && now.Sub(k.moveAt) > moveFor {
+		k.endMove("expired")
+	}
+	k.doubts = slices.DeleteFunc(k.doubts, func(d doubt) bool { return now.Sub(d.at) > doubtFor })
+	st := next(k.situation(now))
+	o := Order{Sequence: k.report.Sequence, Holder: k.cfg.Holder, Fence: k.fence, Endpoint: k.endpoint}
+	switch st := st.(type) {
+	case idle:
+		k.mu.Unlock()
+		return false
+	case moved:
+		k.endMove(st.why)
+		k.mu.Unlock()
+		return true
+	case unfit:
+		k.log.WithFields(logrus.Fields{"adapter": st.name.String(), "why": st.why}).Info("an adapter was not loaded")
+		delete(k.wants, st.name)
+		k.mu.Unlock()
+		return true
+	case order:
+		o.Name, o.Unload = st.name, st.unload
+	}
+	k.mu.Unlock()
+
+	began := time.Now()
+	v, err := k.engine.Order(ctx, o)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.log.WithFields(logrus.Fields{
+		"name": o.Name.String(), "unload": o.Unload, "sequence": o.Sequence, "fence": o.Fence,
+		"verdict": v.String(), "took_ms": time.Since(began).Milliseconds(),
+	}).WithError(err).Info("order given")
+	switch v {
+	case Unanswered:
+		if !o.Unload {
+			k.doubts = append(k.doubts, doubt{name: o.Name, sequence: o.Sequence, at: now})
+		}
+	case Rejected:
+		if o.Name.Adapter != "" && o.Unload {
+			// It is in use; the next one makes way.
+			k.used[o.Name] = now
+		}
+		return false
+	case Accepted, Holds:
+		if !o.Unload && o.Name.Adapter != "" {
+			k.used[o.Name] = now
+		}
+	}
+	return true
+}
+
+func (k *Keeper) endMove(why string) {
+	k.log.WithFields(logrus.Fields{"term": k.term, "move": k.id, "why": why}).Info("the planner's order ended")
+	k.move, k.done = nil, true
+}
+
+// String returns the verdict's name in logs.
+func (v Verdict) String() string {
+	return [...]string{"unanswered", "accepted", "holds", "rejected"}[v]
+}
--- /dev/null
+++ b/internal/transport/keep/next.go
@@ -0,0 +1,183 @@
+package keep
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilhead/internal/protocol/beat"
+	"chervilhead/internal/state/fleet"
+)
+
+// situation is all that the next order depends on.
+type situation struct {
+	report Report
+	spec   *fleet.Engine
+	// wants are adapters that requests wait for, the oldest first.
+	wants []fleet.Name
+	// used is when a gateway last used an adapter.
+	used map[fleet.Name]time.Time
+	// move is the planner's newest order, or nil when it is done.
+	move *beat.Move
+	// doubts are loads without an answer that may still be carried out.
+	doubts []doubt
+	now    time.Time
+}
+
+// doubt is an order without an answer.
+type doubt struct {
+	name     fleet.Name
+	sequence int64
+	at       time.Time
+}
+
+// doubtFor is how long an order without an answer may still be carried out; the platform
+// names some seconds, 12 at most.
+const doubtFor = 15 * time.Second
+
+// step is what to do next.
+type step interface{ step() }
+
+type (
+	// idle means that there is nothing to order.
+	idle struct{}
+	// order means that an order is to be given.
+	order struct {
+		name   fleet.Name
+		unload bool
+	}
+	// moved means that the planner's order needs nothing more.
+	moved struct{ why string }
+	// unfit means that an adapter can't be loaded now.
+	unfit struct {
+		name fleet.Name
+		why  string
+	}
+)
+
+func (idle) step()  {}
+func (order) step() {}
+func (moved) step() {}
+func (unfit) step() {}
+
+// next returns the next step. Adapters go first, because requests wait for them and
+// they take milliseconds.
+func next(s situation) step {
+	if s.spec == nil || s.report.Leaving || !s.report.Alive {
+		return idle{}
+	}
+	for _, want := range s.wants {
+		if st, ok := nextAdapter(s, want); ok {
+			return st
+		}
+	}
+	if s.report.Busy || s.move == nil {
+		return idle{}
+	}
+	return nextMove(s)
+}
+
+func nextAdapter(s situation, want fleet.Name) (step, bool) {
+	model, whole := fleet.Holds(s.report.Models, want)
+	if whole || slices.Contains(s.report.Pending, want) {
+		return nil, false
+	}
+	spec, known := s.spec.Models[want.Model]
+	if !model || !known {
+		return unfit{want, "model_not_resident"}, true
+	}
+	if s.move != nil && slices.Contains(s.move.Drop, want.Model) {
+		return unfit{want, "model_leaves"}, true
+	}
+	held := adapters(s.report)
+	if len(held)+s.doubtful(true) < s.spec.AdapterSlots && s.memory()+spec.AdapterMB <= s.spec.WeightsMB {
+		return order{name: want}, true
+	}
+	loaded := slices.DeleteFunc(held, func(n fleet.Name) bool { return slices.Contains(s.report.Pending, n) })
+	if len(loaded) == 0 {
+		return unfit{want, "no_room"}, true
+	}
+	// The one that was used least recently makes way.
+	oldest := slices.MinFunc(loaded, func(a, b fleet.Name) int { return cmp.Compare(s.used[a].UnixNano(), s.used[b].UnixNano()) })
+	if slices.Contains(s.wants, oldest) {
+		return unfit{want, "no_room"}, true
+	}
+	return order{name: oldest, unload: true}, true
+}
+
+func nextMove(s situation) step {
+	for _, m := range s.move.Drop {
+		if held, _ := fleet.Holds(s.report.Models, fleet.Name{Model: m}); held {
+			return order{name: fleet.Name{Model: m}, unload: true}
+		}
+	}
+	if s.move.Load == "" {
+		return moved{"dropped"}
+	}
+	name := fleet.Name{Model: s.move.Load}
+	if held, _ := fleet.Holds(s.report.Models, name); held {
+		return moved{"resident"}
+	}
+	spec, known := s.spec.Models[s.move.Load]
+	if !known {
+		return moved{"model_unknown"}
+	}
+	if s.memory()+spec.WeightsMB > s.spec.WeightsMB {
+		return moved{"no_room"}
+	}
+	return order{name: name}
+}
+
+// memory returns the megabytes that are taken or may come to be taken.
+func (s situation) memory() float64 {
+	mb := 0.0
+	for _, r := range s.report.Models {
+		m := s.spec.Models[r.Model]
+		mb += m.WeightsMB + float64(len(r.Adapters))*m.AdapterMB
+	}
+	for _, p := range s.report.Pending {
+		mb += s.spec.Models[p.Model].AdapterMB
+	}
+	for _, d := range s.doubts {
+		if !s.open(d) {
+			continue
+		}
+		if m := s.spec.Models[d.name.Model]; d.name.Adapter == "" {
+			mb += m.WeightsMB
+		} else {
+			mb += m.AdapterMB
+		}
+	}
+	return mb
+}
+
+// open reports whether an order without an answer can still be carried out: it waits for
+// the engine to have accepted a number of orders that it hasn't passed yet. An order
+// that has that number from before a restart counts too. One that is about to be given
+// has the current number, and of two such orders the engine takes only one.
+func (s situation) open(d doubt) bool {
+	return s.now.Sub(d.at) < doubtFor && d.sequence > s.report.Sequence
+}
+
+func (s situation) doubtful(adapter bool) int {
+	n := 0
+	for _, d := range s.doubts {
+		if s.open(d) && (d.name.Adapter != "") == adapter {
+			n++
+		}
+	}
+	return n
+}
+
+// adapters returns the adapters that are resident or on their way.
+func adapters(r Report) []fleet.Name {
+	out := slices.Clone(r.Pending)
+	for _, m := range r.Models {
+		for _, a := range m.Adapters {
+			if n := (fleet.Name{Model: m.Model, Adapter: a}); !slices.Contains(out, n) {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/transport/pass/handler.go
@@ -0,0 +1,219 @@
+package pass
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/hop"
+	"chervilhead/internal/state/again"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
+)
+
+// Fleet is what the handler sees of the endpoints beyond the store's view.
+type Fleet interface {
+	// States returns all endpoints with the newest reports.
+	States() []fleet.State
+	// Fetch asks the keeper of an endpoint for an adapter and waits until it is there.
+	Fetch(ctx context.Context, e fleet.Endpoint, name fleet.Name) error
+	// Await waits until some endpoint of a service holds a model. It tells the planner
+	// that a request waits.
+	Await(ctx context.Context, service, model string) error
+	// Asked notes demand: a request for a model whose prompt has so many tokens to read
+	// and whose answer so many tokens to make.
+	Asked(service, model string, read, made int)
+	// Gateways returns the number of gateways, as far as it is known.
+	Gateways() int
+}
+
+// Settings shape a handler.
+type Settings struct {
+	Names Headers
+	// Zone is the gateway's failure domain.
+	Zone  string
+	Again again.Limit
+	// ConfigStale is the age from which an unconfirmed configuration may lack a route.
+	ConfigStale time.Duration
+}
+
+// Handler passes requests on. It implements http.Handler.
+type Handler struct {
+	cfg   Settings
+	view  func() *watch.View
+	fleet Fleet
+	pool  *hop.Pool
+	track *tracker
+	log   *logrus.Entry
+	met   *Metrics
+
+	draining atomic.Bool
+	bodies   atomic.Int64
+}
+
+// New returns a handler.
+func New(cfg Settings, view func() *watch.View, f Fleet, pool *hop.Pool, met *Metrics, log *logrus.Entry) *Handler {
+	return &Handler{cfg: cfg, view: view, fleet: f, pool: pool, track: newTracker(cfg.Again), log: log, met: met}
+}
+
+// Drain makes the handler end each connection after its answer.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Used returns the models and adapters used on an endpoint since the last call.
+func (h *Handler) Used(id string) []string { return h.track.used(id) }
+
+// Tidy drops what is kept for endpoints that are gone.
+func (h *Handler) Tidy() {
+	known := map[string]bool{}
+	for id, e := range h.view().Endpoints {
+		known[id] = true
+		known[poolKey(e)] = true
+	}
+	h.track.forget(func(id string) bool { return known[id] })
+	h.pool.Sweep(time.Now(), func(key string) bool { return known[key] })
+}
+
+// maxBodies bounds the bodies held at once in bytes, a fifth of a small host's memory.
+const maxBodies = 48 << 20
+
+// call is one request of a client on its way.
+type call struct {
+	id    string
+	began time.Time
+	route fleet.Route
+	req   pick.Request
+	body  []byte
+	in    *http.Request
+	w     http.ResponseWriter
+	// ctx ends when the client leaves, at its deadline or at the route's timeout.
+	ctx context.Context
+	// limit is when ctx ends.
+	limit time.Time
+	// tries counts the endpoints that the request was sent to, runs those that may have run it.
+	tries, runs int
+	// begun is set once the client has received a part of the answer.
+	begun  bool
+	choice pick.Choice
+	lastID string
+	// outcome says in the log how the request ended.
+	outcome string
+	status  int
+	first   time.Duration
+	awaited bool
+}
+
+// errTimeout ends requests at their deadline or at the route's timeout.
+var errTimeout = errors.New("the time of the request is over")
+
+// ServeHTTP passes one request on.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	c := &call{id: in.Header.Get(h.cfg.Names.RequestID), began: time.Now(), in: in, w: w}
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	v := h.view()
+	if !v.HasConfig {
+		h.refuse(c, "no_config", startWait)
+		return
+	}
+	route, ok := v.Config.Route(in.Host, in.URL.Path)
+	if !ok {
+		if time.Since(v.ConfigAt) > h.cfg.ConfigStale {
+			h.refuse(c, "config_stale", startWait)
+			return
+		}
+		h.end(c, http.StatusNotFound, "no_route")
+		return
+	}
+	c.route = route
+	service, ok := v.Config.Service(route.Pick(rand.Float64()))
+	if !ok {
+		h.refuse(c, "no_service", startWait)
+		return
+	}
+	if !h.readBody(c, v.Config.Limits) {
+		return
+	}
+	defer h.bodies.Add(-int64(len(c.body)))
+
+	left := route.Timeout
+	if ms, err := strconv.ParseInt(in.Header.Get(h.cfg.Names.Deadline), 10, 64); err == nil {
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	c.limit = c.began.Add(left - wayBack)
+	ctx, cancel := context.WithDeadlineCause(in.Context(), c.limit, errTimeout)
+	defer cancel()
+	c.ctx = ctx
+	c.req = h.describe(c, service)
+	h.track.fresh(service.Name)
+	h.serve(c, service)
+	h.note(c)
+}
+
+const (
+	// startWait is how long a caller waits for a gateway that is starting.
+	startWait = 300 * time.Millisecond
+	// wayBack is the time for an answer to reach the client.
+	wayBack = 8 * time.Millisecond
+)
+
+// readBody reads the request's body whole; it answers and returns false if it can't.
+func (h *Handler) readBody(c *call, limits fleet.Limits) bool {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = maxBodies
+	}
+	if c.in.ContentLength > most {
+		h.end(c, http.StatusRequestEntityTooLarge, "body_too_large")
+		return false
+	}
+	if h.bodies.Load() > maxBodies {
+		h.refuse(c, "memory", startWait)
+		return false
+	}
+	if c.in.ContentLength == 0 {
+		return true
+	}
+	body, err := io.ReadAll(io.LimitReader(c.in.Body, most+1))
+	if err != nil {
+		// The client left or its framing is broken; there is nobody to answer.
+		c.outcome = "body_broken"
+		h.note(c)
+		panic(http.ErrAbortHandler)
+	}
+	if int64(len(body)) > most {
+		h.end(c, http.StatusRequestEntityTooLarge, "body_too_large")
+		return false
+	}
+	c.body = body
+	h.bodies.Add(int64(len(body)))
+	return true
+}
+
+// describe decodes what the choice of an endpoint depends on.
+func (h *Handler) describe(c *call, service fleet.Service) pick.Request {
+	req := pick.Request{Service: service.Name, Zone: h.cfg.Zone}
+	if service.Engine == nil {
+		return req
+	}
+	req.Name = fleet.ParseName(c.in.Header.Get(h.cfg.Names.Model))
+	req.Parts = pick.Parts(req.Name, c.in.Header.Get(h.cfg.Names.Prompt))
+	prompt, output := pick.Counts(c.in.Header.Get(h.cfg.Names.Tokens))
+	req.Output = output
+	if len(req.Parts) == 0 && prompt > 0 {
+		req.Parts = []pick.Part{{Tokens: prompt}}
+	}
+	// The last part is the request's own or its session's.
+	req.Shared = max(0, len(req.Parts)-1)
+	return req
+}
+
+func poolKey(e fleet.Endpoint) string { return e.ID + "/" + strconv.FormatInt(e.Born, 36) }
--- /dev/null
+++ b/internal/transport/pass/metrics.go
@@ -0,0 +1,47 @@
+package pass
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Metrics are the counters of a handler.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+}
+
+// NewMetrics registers the counters of a handler.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilhead_gateway_requests_total", Help: "Requests by route kind, status and outcome.",
+		}, []string{"kind", "status", "outcome"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "chervilhead_gateway_first_seconds", Help: "Time to the first event or the whole plain answer, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+		}, []string{"kind"}),
+	}
+	reg.MustRegister(m.requests, m.first)
+	return m
+}
+
+// note counts a request and writes its line.
+func (h *Handler) note(c *call) {
+	kind := c.route.Kind.String()
+	label, _, _ := strings.Cut(c.outcome, ":")
+	h.met.requests.WithLabelValues(kind, strconv.Itoa(c.status), label).Inc()
+	if c.first > 0 {
+		h.met.first.WithLabelValues(kind).Observe(c.first.Seconds())
+	}
+	h.log.WithFields(logrus.Fields{
+		"request": c.id, "route": c.route.Name, "name": c.req.Name.String(), "endpoint": c.choice.ID, "candidates": c.choice.Candidates,
+		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.Unread, "fetch": c.choice.Fetch,
+		"tries": c.tries, "runs": c.runs, "status": c.status, "outcome": c.outcome,
+		"first_ms": c.first.Milliseconds(), "took_ms": time.Since(c.began).Milliseconds(),
+	}).Info("request ended")
+}
--- /dev/null
+++ b/internal/transport/pass/serve.go
@@ -0,0 +1,213 @@
+package pass
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"chervilhead/internal/protocol/hop"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
+)
+
+// verdict is what becomes of a request after an attempt.
+type verdict interface{ verdict() }
+
+type (
+	// finished means that the client has its answer.
+	finished struct{}
+	// another means that the request may go to another endpoint.
+	another struct {
+		// ran is set when the endpoint may have run the request.
+		ran    bool
+		reason string
+		// answer is the endpoint's failure, for the client if nothing else comes.
+		answer *answer
+	}
+)
+
+func (finished) verdict() {}
+func (another) verdict()  {}
+
+const (
+	// maxTries bounds the endpoints that are asked one after another while none runs the request.
+	maxTries = 4
+	// minLeft is the time below which a request isn't sent any more.
+	minLeft = 20 * time.Millisecond
+)
+
+// serve sends the request to endpoints until it has an answer.
+func (h *Handler) serve(c *call, service fleet.Service) {
+	slots, adapterSlots := 0, 0
+	if service.Engine != nil {
+		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
+		if _, known := service.Engine.Models[c.req.Name.Model]; !known {
+			// The configuration doesn't name the model, so that nothing can load it.
+			h.refuse(c, "unknown_model", time.Second)
+			return
+		}
+	}
+	var last another
+	for c.tries < maxTries {
+		if time.Until(c.limit) < minLeft || c.ctx.Err() != nil {
+			break
+		}
+		now := time.Now()
+		list := h.track.candidates(h.fleet.States(), slots, c.req)
+		est := h.track.estimates(service.Name)
+		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, rand.Float64)
+		if !ok && len(c.req.Tried) > 0 {
+			break
+		}
+		if !ok {
+			if service.Engine == nil || !h.await(c, service) {
+				h.refuse(c, "no_endpoint", noEndpointWait)
+				return
+			}
+			continue
+		}
+		c.choice = ch
+		if left := time.Until(c.limit); ch.Estimate > left && c.tries == 0 {
+			h.refuse(c, "too_late", min(ch.Estimate-left+startWait, left/4))
+			return
+		}
+		if c.tries > 0 && !h.track.repeat(service.Name, h.fleet.Gateways()) {
+			last.reason += ",no_budget"
+			break
+		}
+		e := stateOf(list, ch.ID)
+		if ch.Fetch {
+			if err := h.fetch(c, e); err != nil {
+				c.req.Tried = append(c.req.Tried, e.ID)
+				last.reason = "adapter_not_loaded"
+				if len(c.req.Tried) >= maxTries {
+					break
+				}
+				continue
+			}
+		}
+		c.tries++
+		switch v := h.attempt(c, e).(type) {
+		case finished:
+			return
+		case another:
+			c.req.Tried = append(c.req.Tried, e.ID)
+			last = v
+			if v.ran {
+				c.runs++
+				if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts || c.begun && c.lastID == "" {
+					h.giveUp(c, last)
+					return
+				}
+			}
+		}
+	}
+	h.giveUp(c, last)
+}
+
+// noEndpointWait is how long a caller waits for an endpoint; the store's view is renewed more often.
+const noEndpointWait = 700 * time.Millisecond
+
+func stateOf(list []pick.Candidate, id string) fleet.Endpoint {
+	for _, c := range list {
+		if c.State.ID == id {
+			return c.State.Endpoint
+		}
+	}
+	return fleet.Endpoint{}
+}
+
+// fetchTimeout bounds the wait for an adapter, which takes some milliseconds.
+const fetchTimeout = 300 * time.Millisecond
+
+func (h *Handler) fetch(c *call, e fleet.Endpoint) error {
+	ctx, cancel := context.WithTimeout(c.ctx, fetchTimeout)
+	defer cancel()
+	return h.fleet.Fetch(ctx, e, c.req.Name)
+}
+
+// await waits for a model that no endpoint holds, if its load can end in time.
+func (h *Handler) await(c *call, service fleet.Service) bool {
+	m := service.Engine.Models[c.req.Name.Model]
+	// Half of the time is left for the queue and the answer.
+	most := time.Until(c.limit) / 2
+	if c.awaited || m.Load > most {
+		h.fleet.Asked(service.Name, c.req.Name.Model, 0, 0)
+		return false
+	}
+	c.awaited = true
+	ctx, cancel := context.WithTimeout(c.ctx, most)
+	defer cancel()
+	return h.fleet.Await(ctx, service.Name, c.req.Name.Model) == nil
+}
+
+// attempt sends the request to one endpoint.
+func (h *Handler) attempt(c *call, e fleet.Endpoint) verdict {
+	first, end := h.track.begin(e, c.req, c.choice.Unread)
+	defer end()
+	hd := h.cfg.Names.request(c.in.Header)
+	left := time.Until(c.limit)
+	hd.Set(h.cfg.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	hd.Set(h.cfg.Names.Instance, e.ID)
+	if c.req.Name.Model != "" {
+		hd.Set(h.cfg.Names.Priority, strconv.Itoa(priority(c.route)))
+	}
+	if c.lastID != "" {
+		hd.Set(h.cfg.Names.LastEventID, c.lastID)
+	}
+	sent := time.Now()
+	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &hop.Request{
+		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body,
+		IDHeader: h.cfg.Names.RequestID, ID: c.id,
+	})
+	if err != nil {
+		return h.failed(c, e, err)
+	}
+	defer resp.Close()
+	if resp.Header.Get(h.cfg.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
+		h.track.result(e, true)
+		return another{reason: "turned_away_" + strconv.Itoa(resp.Status)}
+	}
+	if resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices && resp.Header.Get(h.cfg.Names.Signature) == "" {
+		h.track.result(e, false)
+		return another{ran: true, reason: "unsigned"}
+	}
+	begin := func() {
+		first()
+		if c.first == 0 {
+			c.first = time.Since(c.began)
+			h.track.latency(e, c.req.Service, c.req.Name.Model != "", c.choice.Unread, c.choice.Estimate, time.Since(sent))
+			h.track.kept(e, c.req.Parts)
+		}
+	}
+	if c.begun && resp.Status != http.StatusOK {
+		h.track.result(e, false)
+		return another{ran: true, reason: "resume_failed_" + strconv.Itoa(resp.Status)}
+	}
+	if c.route.Kind == fleet.Stream && resp.Status == http.StatusOK {
+		return h.stream(c, e, resp, begin)
+	}
+	return h.plain(c, e, resp, begin)
+}
+
+// priority maps a route's rank to the engines' range, whose middle is for requests without one.
+func priority(r fleet.Route) int { return min(9, 3+r.Priority) }
+
+// failed judges an attempt that has no answer.
+func (h *Handler) failed(c *call, e fleet.Endpoint, err error) verdict {
+	var he *hop.Error
+	if !errors.As(err, &he) {
+		he = &hop.Error{Stage: hop.Sent, Cause: err}
+	}
+	if c.ctx.Err() == nil {
+		if he.Stage == hop.Unsent {
+			h.track.unreached(e)
+		} else if !he.Kept {
+			h.track.result(e, false)
+		}
+	}
+	return another{ran: he.Stage != hop.Unsent, reason: he.Error()}
+}
--- /dev/null
+++ b/internal/transport/pass/track.go
@@ -0,0 +1,238 @@
+package pass
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"chervilhead/internal/state/again"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/trust"
+)
+
+// maxPrompts bounds the parts of prompts that are remembered for one endpoint.
+const maxPrompts = 4096
+
+// tracker is what the gateway knows from its own requests.
+type tracker struct {
+	mu     sync.Mutex
+	nodes  map[string]*node
+	models map[string]pick.Model
+	budget map[string]*again.Budget
+	limit  again.Limit
+	start  time.Time
+}
+
+// node is one incarnation of an endpoint.
+type node struct {
+	born            int64
+	inFlight        int
+	reading, unread int
+	trust           trust.Record
+	prompts         map[uint64]*list.Element
+	recent          *list.List
+	used            map[string]struct{}
+	lastUse         time.Time
+}
+
+// The estimates before anything has been measured.
+const (
+	// firstPerToken is 40 prompt tokens a millisecond, the pace of today's engines.
+	firstPerToken = 25 * time.Microsecond
+	// firstUnread is the length of a typical prompt beyond its shared parts.
+	firstUnread = 1500
+	// firstWork is the time of a typical plain call.
+	firstWork = 50 * time.Millisecond
+	// learn is the weight of a new measurement in the means.
+	learn = 0.05
+)
+
+func newTracker(limit again.Limit) *tracker {
+	return &tracker{nodes: map[string]*node{}, models: map[string]pick.Model{}, budget: map[string]*again.Budget{}, limit: limit, start: time.Now()}
+}
+
+func (t *tracker) node(e fleet.Endpoint) *node {
+	n, ok := t.nodes[e.ID]
+	if !ok || n.born != e.Born {
+		// A new incarnation keeps nothing; its requests in flight are gone with the old one.
+		n = &node{born: e.Born, prompts: map[uint64]*list.Element{}, recent: list.New(), used: map[string]struct{}{}}
+		t.nodes[e.ID] = n
+	}
+	return n
+}
+
+func (t *tracker) model(service string) pick.Model {
+	m, ok := t.models[service]
+	if !ok {
+		m = pick.Model{PerToken: firstPerToken, MeanUnread: firstUnread, Work: firstWork}
+	}
+	return m
+}
+
+// candidates returns the endpoints of a service with what is known of them.
+func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request) []pick.Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]pick.Candidate, 0, len(states))
+	for _, s := range states {
+		if s.Service != req.Service {
+			continue
+		}
+		n := t.node(s.Endpoint)
+		c := pick.Candidate{State: s, Slots: s.Slots, InFlight: n.inFlight, Reading: n.reading, Unread: n.unread, Trust: n.trust}
+		if c.Slots == 0 {
+			c.Slots = slots
+		}
+		for _, p := range req.Parts {
+			if _, ok := n.prompts[p.Chain]; !ok {
+				break
+			}
+			c.Cached += p.Tokens
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// begin notes that a request goes to an endpoint. The returned functions note its first
+// token and its end; each has an effect once.
+func (t *tracker) begin(e fleet.Endpoint, req pick.Request, unread int) (first func(), end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	n.inFlight++
+	n.reading++
+	n.unread += unread
+	n.lastUse = time.Now()
+	if req.Name.Model != "" && len(n.used) < maxUsed {
+		n.used[req.Name.String()] = struct{}{}
+	}
+	reading, running := true, true
+	first = func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if reading {
+			reading = false
+			n.reading--
+			n.unread -= unread
+		}
+	}
+	end = func() {
+		first()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if running {
+			running = false
+			n.inFlight--
+		}
+	}
+	return first, end
+}
+
+// maxUsed bounds the names that are reported as used between two asks.
+const maxUsed = 64
+
+// used returns the names used on an endpoint since the last call.
+func (t *tracker) used(id string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, ok := t.nodes[id]
+	if !ok || len(n.used) == 0 {
+		return nil
+	}
+	out := make([]string, 0, len(n.used))
+	for u := range n.used {
+		out = append(out, u)
+	}
+	clear(n.used)
+	return out
+}
+
+// kept notes that an endpoint keeps a prompt's parts.
+func (t *tracker) kept(e fleet.Endpoint, parts []pick.Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	for _, p := range parts {
+		if el, ok := n.prompts[p.Chain]; ok {
+			n.recent.MoveToFront(el)
+			continue
+		}
+		n.prompts[p.Chain] = n.recent.PushFront(p.Chain)
+		if n.recent.Len() > maxPrompts {
+			last := n.recent.Back()
+			delete(n.prompts, n.recent.Remove(last).(uint64))
+		}
+	}
+}
+
+// result notes whether an endpoint answered.
+func (t *tracker) result(e fleet.Endpoint, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	n.trust = n.trust.WithResult(ok, time.Now())
+}
+
+func (t *tracker) unreached(e fleet.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	n.trust = n.trust.WithUnreached(time.Now())
+}
+
+// latency notes a measured time to the first token, or to a plain answer.
+func (t *tracker) latency(e fleet.Endpoint, service string, engine bool, unread int, estimate, measured time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	n.trust = n.trust.WithLatency(measured, estimate, time.Now())
+	m := t.model(service)
+	if engine {
+		m.MeanUnread += int(learn * float64(unread-m.MeanUnread))
+	} else {
+		m.Work += time.Duration(learn * float64(measured-m.Work))
+	}
+	t.models[service] = m
+}
+
+func (t *tracker) estimates(service string) pick.Model {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.model(service)
+}
+
+func (t *tracker) budgetOf(service string) *again.Budget {
+	b, ok := t.budget[service]
+	if !ok {
+		b = again.New(t.limit)
+		t.budget[service] = b
+	}
+	return b
+}
+
+// fresh counts a request for a service.
+func (t *tracker) fresh(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budgetOf(service).Fresh(time.Since(t.start))
+}
+
+// repeat reports whether a request may be sent once more.
+func (t *tracker) repeat(service string, gateways int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budgetOf(service).Take(time.Since(t.start), gateways)
+}
+
+// forget drops endpoints that are no longer known.
+func (t *tracker) forget(known func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.nodes {
+		if !known(id) {
+			delete(t.nodes, id)
+		}
+	}
+}
