Tell the planner the demand; give each adapter one home

Cause: only requests without any endpoint were counted as demand, so that no busy model got another copy; the home of an adapter followed the prompt, so that its requests went to many endpoints and each took two orders.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -84,10 +84,13 @@
 	otherDomain = 5 * time.Millisecond
 	// perRunning is the longer step for each running request.
 	perRunning = 100 * time.Microsecond
-	// fetchAdapter is the time to order an adapter and to wait for it.
-	fetchAdapter = 15 * time.Millisecond
-	// evictAdapter is added where another adapter has to make way.
-	evictAdapter = 10 * time.Millisecond
+	// fetchAdapter is the time to order an adapter and to wait for it, evictAdapter the
+	// time until another one has made way.
+	fetchAdapter, evictAdapter = 15 * time.Millisecond, 10 * time.Millisecond
+	// orderPrice is what an order is worth in time: at the platform's prices, an order
+	// costs some hundredths of a request's worth, and an adapter that moves about costs
+	// two orders with each request.
+	orderPrice = 60 * time.Millisecond
 	// failCost is the cost of a request that fails and is sent again.
 	failCost = 600 * time.Millisecond
 	// fullWait is the wait for a place in a full batch: a part of a typical run.
@@ -193,14 +196,21 @@
 		}
 	}
 	_, whole := fleet.Holds(c.State.Residents(), req.Name)
+	orders := 0
 	if !whole {
 		est += fetchAdapter
+		orders = 1
 		if adapters(c.State) >= adapterSlots {
 			est += evictAdapter
+			orders = 2
+		}
+		if c.State.ID == home {
+			// All gateways will use it there.
+			orders--
 		}
 	}
 	est = time.Duration(float64(est) * c.Trust.Pace(now))
-	cost := est + time.Duration(c.Trust.Failing(now)*float64(failCost))
+	cost := est + time.Duration(orders)*orderPrice + time.Duration(c.Trust.Failing(now)*float64(failCost))
 	if c.State.Zone != req.Zone {
 		cost += otherDomain
 	}
@@ -222,7 +232,8 @@
 		return ""
 	}
 	key := xxhash.Sum64String(req.Name.String())
-	if req.Shared > 0 && req.Shared <= len(req.Parts) {
+	// An adapter has one home whatever the prompt, because it takes one of few places.
+	if req.Name.Adapter == "" && req.Shared > 0 && req.Shared <= len(req.Parts) {
 		key = req.Parts[req.Shared-1].Chain
 	}
 	var best string
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -70,6 +70,9 @@
 			continue
 		}
 		c.choice = ch
+		if c.tries == 0 && len(c.req.Tried) == 0 && c.req.Name.Model != "" {
+			h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
+		}
 		if left := time.Until(c.limit); ch.Estimate > left && c.tries == 0 {
 			h.refuse(c, "too_late", min(ch.Estimate-left+startWait, left/4))
 			return
@@ -135,7 +138,7 @@
 	// Half of the time is left for the queue and the answer.
 	most := time.Until(c.limit) / 2
 	if c.awaited || m.Load > most {
-		h.fleet.Asked(service.Name, c.req.Name.Model, 0, 0)
+		h.fleet.Asked(service.Name, c.req.Name.Model, c.req.Tokens(), c.req.Output)
 		return false
 	}
 	c.awaited = true
