keep: give each order once, restore after a restart; reports go before registrations

After a loss of power gateways took the registrations from before it for newer than the keepers' reports. Change: accepted orders are remembered until their effect shows; adapters in use don't make way; a keeper loads again what its host keeps; a report younger than a heartbeat goes before a registration; new keepers are asked at once.

--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -83,18 +83,14 @@
 type State struct {
 	Endpoint
 	Load Load
-	// Reported is set once a report has arrived.
+	// Reported is set while the newest report says more than the registration.
 	Reported bool
 }
 
 // Residents returns what the endpoint holds by the newest source.
 func (s State) Residents() []Resident {
-	switch {
-	case !s.Reported || s.Load.Born < s.Born:
-		return s.Models
-	case s.Load.Born > s.Born || s.Load.Sequence >= s.Sequence:
+	if s.Reported {
 		return s.Load.Models
-	default:
-		return s.Models
 	}
+	return s.Models
 }
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -34,20 +35,21 @@
 	fetchAgain = 40 * time.Millisecond
 	// silent is the age from which a keeper's report is no longer used.
 	silent = 3 * time.Second
+	// lately is the age up to which a report goes before the registration, which may be
+	// a heartbeat and a poll old.
+	lately = 1800 * time.Millisecond
 	// defaultGateways is the number of gateways before a keeper has told one.
 	defaultGateways = 8
 )
 
 // report is the newest state of one keeper.
 type report struct {
-	load         fleet.Load
-	life         int64
-	number       uint64
-	doing        order
-	endpoint     string
-	gateways     int
-	asked        map[string]struct{}
-	lastModified time.Time
+	load     fleet.Load
+	life     int64
+	number   uint64
+	doing    order
+	endpoint string
+	gateways int
 }
 
 // order is a planner's order at a keeper.
@@ -67,6 +69,7 @@
 	mu sync.Mutex
 	// reports are by address of the endpoint.
 	reports map[string]*report
+	known   map[string]bool
 	changed chan struct{}
 	demand  *demand
 	planner *planner
@@ -121,11 +124,24 @@
 // States returns all endpoints with the newest reports of their keepers.
 func (d *Desk) States() []fleet.State { return *d.snap.Load() }
 
-// Refresh takes over a new view of the store.
-func (d *Desk) Refresh(*watch.View) {
+// Refresh takes over a new view of the store. Keepers that are new are asked at once.
+func (d *Desk) Refresh(v *watch.View) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	var fresh []fleet.Endpoint
+	for id, e := range v.Endpoints {
+		if !d.known[id] {
+			fresh = append(fresh, e)
+		}
+	}
+	d.known = make(map[string]bool, len(v.Endpoints))
+	for id := range v.Endpoints {
+		d.known[id] = true
+	}
 	d.rebuild(true)
+	d.mu.Unlock()
+	if v.HasConfig {
+		d.askThese(v, fresh)
+	}
 }
 
 // rebuild makes the snapshot anew; holdings says whether waiting requests should look again.
@@ -137,7 +153,7 @@
 	for _, e := range v.Endpoints {
 		addrs[e.Address] = true
 		s := fleet.State{Endpoint: e}
-		if r, ok := d.reports[e.Address]; ok && now.Sub(r.load.At) < silent && (r.load.Born >= e.Born || r.load.Born == 0) {
+		if r, ok := d.reports[e.Address]; ok && newer(r.load, e, now) {
 			s.Load, s.Reported = r.load, true
 		}
 		out = append(out, s)
@@ -155,6 +171,21 @@
 	}
 }
 
+// newer reports whether a keeper's report says more of an endpoint than its registration.
+// A registration is written about once a second; a report that is older than that may be
+// of before the endpoint's restart.
+func newer(l fleet.Load, e fleet.Endpoint, now time.Time) bool {
+	age := now.Sub(l.At)
+	switch {
+	case age >= silent || l.Born < e.Born:
+		return false
+	case age < lately:
+		return true
+	default:
+		return l.Sequence >= e.Sequence
+	}
+}
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
@@ -188,7 +219,11 @@
 
 func (d *Desk) askAll() {
 	v := d.view()
-	for _, e := range v.Endpoints {
+	d.askThese(v, slices.Collect(maps.Values(v.Endpoints)))
+}
+
+func (d *Desk) askThese(v *watch.View, list []fleet.Endpoint) {
+	for _, e := range list {
 		if spec := d.engineOf(v, e); spec != nil {
 			d.ask(e, &beat.Ask{Used: d.used(e.ID), Engine: d.specHash(v.Config.Version, e.Service, spec)})
 		}
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -40,7 +40,7 @@
 	// demandFor is how long a gateway's report of demand counts.
 	demandFor = 4 * time.Second
 	// settle is how long a new planner listens before it decides.
-	settle = 1500 * time.Millisecond
+	settle = 700 * time.Millisecond
 	// loadShare is the share of the weight store's rate that is used; the platform's
 	// bound is over sliding windows, and an order may start late.
 	loadShare = 0.9
@@ -229,7 +229,7 @@
 }
 
 // maxMoves bounds the orders of one decision.
-const maxMoves = 4
+const maxMoves = 8
 
 func (p *planner) total(service string, now time.Time) map[string]copies.Demand {
 	out := map[string]copies.Demand{}
--- a/internal/transport/keep/asks.go
+++ b/internal/transport/keep/asks.go
@@ -60,7 +60,12 @@
 	if a.Endpoint != "" && (k.endpoint == "" || a.Endpoint != k.endpoint && a.Born >= k.report.Born) {
 		k.endpoint = a.Endpoint
 	}
-	k.specWant = a.Engine
+	if k.specWant = a.Engine; k.specWant != k.specHave {
+		select {
+		case k.specWake <- struct{}{}:
+		default:
+		}
+	}
 	for _, u := range a.Used {
 		k.used[fleet.ParseName(u)] = now
 	}
@@ -91,6 +96,7 @@
 	for {
 		select {
 		case <-tick.C:
+		case <-k.specWake:
 		case <-ctx.Done():
 			return
 		}
@@ -104,6 +110,7 @@
 		ch, err := k.src.Config(ctx, 0, 0)
 		if err != nil {
 			k.log.WithError(err).Warn("the configuration could not be read")
+			time.Sleep(configRetry)
 			continue
 		}
 		k.takeSpec(ch, want)
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -76,6 +76,9 @@
 	moveAt   time.Time
 	term, id uint64
 	done     bool
+	taken    []taken
+	restore  []string
+	specWake chan struct{}
 	doubts   []doubt
 	number   uint64
 	sent     beat.State
@@ -89,7 +92,7 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	return &Keeper{
-		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), life: time.Now().UnixNano(),
+		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), specWake: make(chan struct{}, 1), life: time.Now().UnixNano(),
 		subs: map[string]subscriber{}, addrs: map[string]net.Addr{},
 		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{},
 	}, nil
@@ -135,7 +138,15 @@
 		}
 		if r.Born != k.report.Born || r.Sequence < k.report.Sequence {
 			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence}).Info("the engine started")
-			k.used = map[fleet.Name]time.Time{}
+			k.used, k.taken = map[fleet.Name]time.Time{}, nil
+			k.restore = nil
+			for _, m := range k.report.Models {
+				k.restore = append(k.restore, m.Model)
+			}
+		}
+		if len(r.Models) == 0 && len(k.restore) == 0 {
+			// The keeper started anew too; what the host keeps was in use before.
+			k.restore = append(slices.Clone(r.InMemory), r.OnDisk...)
 		}
 		k.missed, k.report = 0, r
 	}
@@ -198,7 +209,7 @@
 }
 
 func (k *Keeper) situation(now time.Time) situation {
-	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, doubts: k.doubts, now: now}
+	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, doubts: k.doubts, now: now}
 	for n, at := range k.wants {
 		_, whole := fleet.Holds(k.report.Models, n)
 		if now.Sub(at) > wantFor || whole {
@@ -218,6 +229,7 @@
 	if k.move != nil && now.Sub(k.moveAt) > moveFor {
 		k.endMove("expired")
 	}
+	k.taken = slices.DeleteFunc(k.taken, func(t taken) bool { return t.ended(k.report, now) })
 	k.doubts = slices.DeleteFunc(k.doubts, func(d doubt) bool { return now.Sub(d.at) > doubtFor })
 	st := next(k.situation(now))
 	o := Order{Sequence: k.report.Sequence, Holder: k.cfg.Holder, Fence: k.fence, Endpoint: k.endpoint}
@@ -259,7 +271,10 @@
 		}
 		return false
 	case Accepted, Holds:
-		if !o.Unload && o.Name.Adapter != "" {
+		switch {
+		case v == Accepted && (o.Unload || o.Name.Adapter == ""):
+			k.taken = append(k.taken, taken{name: o.Name, unload: o.Unload, at: now})
+		case o.Name.Adapter != "":
 			k.used[o.Name] = now
 		}
 	}
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -1,7 +1,6 @@
 package keep
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -19,11 +18,53 @@
 	used map[fleet.Name]time.Time
 	// move is the planner's newest order, or nil when it is done.
 	move *beat.Move
+	// taken are orders that the engine accepted and hasn't ended yet.
+	taken []taken
+	// restore are models that the engine held before it started anew, the first first.
+	restore []string
 	// doubts are loads without an answer that may still be carried out.
 	doubts []doubt
 	now    time.Time
 }
 
+// taken is an accepted order. An engine lists a model or adapter until the last run on it
+// has ended, and isn't busy meanwhile.
+type taken struct {
+	name   fleet.Name
+	unload bool
+	at     time.Time
+}
+
+// takenFor bounds the wait for an accepted order; the longest streams take 15 s.
+const takenFor = 16 * time.Second
+
+// ended reports whether an accepted order has had its effect or is given up.
+func (t taken) ended(r Report, now time.Time) bool {
+	model, whole := fleet.Holds(r.Models, t.name)
+	held := model && whole
+	return held != t.unload || now.Sub(t.at) > takenFor
+}
+
+// waits reports whether an accepted order about a model hasn't ended.
+func (s situation) waits() bool {
+	for _, t := range s.taken {
+		if t.name.Adapter == "" && !t.ended(s.report, s.now) {
+			return true
+		}
+	}
+	return false
+}
+
+// unloading reports whether the engine has accepted to unload a name.
+func (s situation) unloading(n fleet.Name) bool {
+	for _, t := range s.taken {
+		if t.name == n && t.unload && !t.ended(s.report, s.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // doubt is an order without an answer.
 type doubt struct {
 	name     fleet.Name
@@ -71,10 +112,30 @@
 			return st
 		}
 	}
-	if s.report.Busy || s.move == nil {
+	if s.report.Busy || s.waits() {
 		return idle{}
 	}
-	return nextMove(s)
+	if s.move != nil {
+		return nextMove(s)
+	}
+	return nextRestore(s)
+}
+
+// nextRestore loads what the engine held before, as far as the host still has its
+// weights: that takes less time than a planner needs to notice.
+func nextRestore(s situation) step {
+	for _, m := range s.restore {
+		name := fleet.Name{Model: m}
+		if held, _ := fleet.Holds(s.report.Models, name); held {
+			continue
+		}
+		spec, known := s.spec.Models[m]
+		near := slices.Contains(s.report.InMemory, m) || slices.Contains(s.report.OnDisk, m)
+		if known && near && s.memory()+spec.WeightsMB <= s.spec.WeightsMB {
+			return order{name: name}
+		}
+	}
+	return idle{}
 }
 
 func nextAdapter(s situation, want fleet.Name) (step, bool) {
@@ -93,18 +154,20 @@
 	if len(held)+s.doubtful(true) < s.spec.AdapterSlots && s.memory()+spec.AdapterMB <= s.spec.WeightsMB {
 		return order{name: want}, true
 	}
-	loaded := slices.DeleteFunc(held, func(n fleet.Name) bool { return slices.Contains(s.report.Pending, n) })
-	if len(loaded) == 0 {
-		return unfit{want, "no_room"}, true
+	idle := slices.DeleteFunc(held, func(n fleet.Name) bool {
+		return slices.Contains(s.report.Pending, n) || slices.Contains(s.wants, n) || s.unloading(n) || s.now.Sub(s.used[n]) < inUse
+	})
+	if len(idle) == 0 {
+		return unfit{want, "adapters_in_use"}, true
 	}
 	// The one that was used least recently makes way.
-	oldest := slices.MinFunc(loaded, func(a, b fleet.Name) int { return cmp.Compare(s.used[a].UnixNano(), s.used[b].UnixNano()) })
-	if slices.Contains(s.wants, oldest) {
-		return unfit{want, "no_room"}, true
-	}
-	return order{name: oldest, unload: true}, true
+	return order{name: slices.MinFunc(idle, func(a, b fleet.Name) int { return s.used[a].Compare(s.used[b]) }), unload: true}, true
 }
 
+// inUse is how long an adapter counts as in use after a gateway said so; gateways say so
+// several times in that time.
+const inUse = 1500 * time.Millisecond
+
 func nextMove(s situation) step {
 	for _, m := range s.move.Drop {
 		if held, _ := fleet.Holds(s.report.Models, fleet.Name{Model: m}); held {
--- a/internal/transport/pass/track.go
+++ b/internal/transport/pass/track.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,8 +33,10 @@
 	trust           trust.Record
 	prompts         map[uint64]*list.Element
 	recent          *list.List
-	used            map[string]struct{}
-	lastUse         time.Time
+	// used are the adapters asked for since the last look, active the names with requests in flight.
+	used    map[string]struct{}
+	active  map[string]int
+	lastUse time.Time
 }
 
 // The estimates before anything has been measured.
@@ -56,7 +59,7 @@
 	n, ok := t.nodes[e.ID]
 	if !ok || n.born != e.Born {
 		// A new incarnation keeps nothing; its requests in flight are gone with the old one.
-		n = &node{born: e.Born, prompts: map[uint64]*list.Element{}, recent: list.New(), used: map[string]struct{}{}}
+		n = &node{born: e.Born, prompts: map[uint64]*list.Element{}, recent: list.New(), used: map[string]struct{}{}, active: map[string]int{}}
 		t.nodes[e.ID] = n
 	}
 	return n
@@ -105,9 +108,11 @@
 	n.reading++
 	n.unread += unread
 	n.lastUse = time.Now()
-	if req.Name.Model != "" && len(n.used) < maxUsed {
-		n.used[req.Name.String()] = struct{}{}
+	name := req.Name.String()
+	if req.Name.Adapter != "" && len(n.used) < maxUsed {
+		n.used[name] = struct{}{}
 	}
+	n.active[name]++
 	reading, running := true, true
 	first = func() {
 		t.mu.Lock()
@@ -125,6 +130,9 @@
 		if running {
 			running = false
 			n.inFlight--
+			if n.active[name]--; n.active[name] <= 0 {
+				delete(n.active, name)
+			}
 		}
 	}
 	return first, end
@@ -133,14 +141,20 @@
 // maxUsed bounds the names that are reported as used between two asks.
 const maxUsed = 64
 
-// used returns the names used on an endpoint since the last call.
+// used returns the adapters used on an endpoint since the last call, among them those
+// that are in use.
 func (t *tracker) used(id string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n, ok := t.nodes[id]
-	if !ok || len(n.used) == 0 {
+	if !ok {
 		return nil
 	}
+	for name := range n.active {
+		if strings.Contains(name, "/") && len(n.used) < maxUsed {
+			n.used[name] = struct{}{}
+		}
+	}
 	out := make([]string, 0, len(n.used))
 	for u := range n.used {
 		out = append(out, u)
