Move copies by the cost of queues; know adapters without a place; refuse what can't end

Cause: a busy model kept one copy for ten seconds, because no host was below a fixed load; gateways asked keepers again and again for adapters whose places were all in use; streams behind seconds of prompts were taken and cut at the deadline. Ruled out: the weight store (52 loads in 45 s, the rate allows 85). Change: the planner takes the move that lowers work squared over copies most; keepers tell which adapters are in use and refuse at once; a model's pace is learned; a request whose last token can't come in time is refused with the time to come back.

--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -64,6 +64,10 @@
 	Models           []Model
 	Pending          []string
 	InMemory, OnDisk []string
+	// InUse counts the adapters that requests use, Refused are adapters that were asked
+	// for lately and found no place.
+	InUse   int
+	Refused []string
 	// Doing is the newest move's term and id, and whether it has ended.
 	Term, Move uint64
 	Done       bool
--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -40,14 +40,15 @@
 	Reason string
 }
 
-// The thresholds of the decision.
+// The thresholds of the decision, in the unit of cost: one is an endpoint that is busy all
+// the time with one model.
 const (
-	// crowded is the load of a copy above which another copy pays for its load.
-	crowded = 0.5
-	// relief is how much lower the load of the dropped model's other copies must be.
-	relief = 0.5
-	// busyHost is the load of a host beyond which it gets no further hot model.
-	busyHost = 0.9
+	// nearGain and farGain are the least gain of a move from the host's own copy of the
+	// weights and from the weight store; a load is priced like a fraction of the requests
+	// that it helps.
+	nearGain, farGain = 0.08, 0.2
+	// hostWeight is the cost of sharing a host with other busy models.
+	hostWeight = 0.5
 )
 
 // Next returns the best next move, if there is one. far says whether a load from the
@@ -115,68 +116,97 @@
 		return cmp.Or(cmp.Compare(db.Waiting, da.Waiting), cmp.Compare(db.Work, da.Work))
 	})
 	for _, n := range absent {
-		if m, ok := p.place(n, far, true); ok {
-			m.Reason = "reach"
+		if m, ok := p.place(n, far); ok {
 			return m, true
 		}
 	}
 	return Move{}, false
 }
 
-// relieve gives the model with the busiest copies another one.
+// relieve makes the move that shortens the queues most. The cost of a model is the square
+// of its work over its copies: the load of a copy, weighted by the work that meets it.
 func (p *plan) relieve(far bool) (Move, bool) {
-	names := slices.Clone(p.names)
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(p.load(b, 0), p.load(a, 0)) })
-	for _, n := range names {
-		if p.load(n, 0) < crowded {
-			return Move{}, false
+	var best Move
+	most, found := 0.0, false
+	for _, n := range p.names {
+		work := p.demand[n].Work
+		if work <= 0 {
+			continue
 		}
-		if m, ok := p.place(n, far, false); ok {
-			m.Reason = "relieve"
-			return m, true
+		gain := p.cost(n, 0) - p.cost(n, 1)
+		if gain < nearGain || found && gain <= most {
+			continue
+		}
+		for _, h := range p.hosts {
+			m, net, ok := p.relieveOn(n, h, gain, far)
+			if ok && (!found || net > most) {
+				best, most, found = m, net, true
+			}
 		}
 	}
-	return Move{}, false
+	return best, found
 }
 
-// place finds the host for a copy of a model.
-func (p *plan) place(model string, far, first bool) (Move, bool) {
-	spec := p.spec.Models[model]
+// relieveOn returns the net gain of a copy of a model on a host.
+func (p *plan) relieveOn(n string, h Host, gain float64, far bool) (Move, float64, bool) {
+	if !h.Usable || h.Leaving || slices.Contains(h.Models, n) {
+		return Move{}, 0, false
+	}
+	near := slices.Contains(h.Near, n)
+	if !near && !far {
+		return Move{}, 0, false
+	}
+	drop, loss, ok := p.makeRoom(h, p.spec.Models[n])
+	if !ok {
+		return Move{}, 0, false
+	}
+	least := nearGain
+	if !near {
+		least = farGain
+	}
+	beside := p.hostLoad(h)
+	for _, d := range drop {
+		beside -= p.load(d, 0)
+	}
+	net := gain - loss - hostWeight*beside*p.load(n, 1)
+	return Move{Host: h.ID, Drop: drop, Load: n, Far: !near, Reason: "relieve"}, net - least, net > least
+}
+
+// cost returns the cost of a model's queues when it has extra more copies.
+func (p *plan) cost(model string, extra int) float64 {
+	return p.demand[model].Work * p.load(model, extra)
+}
+
+// place finds the host for the first copy of a model.
+func (p *plan) place(model string, far bool) (Move, bool) {
 	var best Move
-	bestCost, found := 0.0, false
+	least, found := 0.0, false
 	for _, h := range p.hosts {
-		if !h.Usable || h.Leaving || slices.Contains(h.Models, model) {
+		if !h.Usable || h.Leaving {
 			continue
 		}
 		near := slices.Contains(h.Near, model)
 		if !near && !far {
 			continue
 		}
-		drop, lost, ok := p.makeRoom(h, spec, first, model)
+		drop, loss, ok := p.makeRoom(h, p.spec.Models[model])
 		if !ok {
 			continue
 		}
-		load := p.hostLoad(h)
-		if !first && load > busyHost {
-			continue
-		}
-		cost := load + 2*lost
+		cost := loss + hostWeight*p.hostLoad(h)
 		if !near {
-			cost += farCost
+			cost += farGain
 		}
-		if !found || cost < bestCost {
-			best, bestCost, found = Move{Host: h.ID, Drop: drop, Load: model, Far: !near}, cost, true
+		if !found || cost < least {
+			best, least, found = Move{Host: h.ID, Drop: drop, Load: model, Far: !near, Reason: "reach"}, cost, true
 		}
 	}
 	return best, found
 }
 
-// farCost makes a load from the weight store a choice after one from the host itself.
-const farCost = 1.0
-
-// makeRoom returns the models that make way on a host, those whose other copies bear it
-// best, and the load that these take over.
-func (p *plan) makeRoom(h Host, spec fleet.Model, first bool, wanted string) ([]string, float64, bool) {
+// makeRoom returns the models that make way on a host, those that are missed least, and
+// what that costs. The last copy of a model stays.
+func (p *plan) makeRoom(h Host, spec fleet.Model) ([]string, float64, bool) {
 	free := p.spec.WeightsMB - h.AdapterMB
 	for _, m := range h.Models {
 		free -= p.spec.Models[m].WeightsMB
@@ -184,23 +214,17 @@
 	if free >= spec.WeightsMB {
 		return nil, 0, true
 	}
-	victims := slices.Clone(h.Models)
-	slices.SortStableFunc(victims, func(a, b string) int { return cmp.Compare(p.load(a, -1), p.load(b, -1)) })
+	victims := slices.DeleteFunc(slices.Clone(h.Models), func(v string) bool { return p.copies[v] < 2 })
+	slices.SortStableFunc(victims, func(a, b string) int {
+		return cmp.Compare(p.cost(a, -1)-p.cost(a, 0), p.cost(b, -1)-p.cost(b, 0))
+	})
 	var drop []string
-	lost := 0.0
+	loss := 0.0
 	for _, v := range victims {
-		if p.copies[v] < 2 {
-			continue
-		}
-		after := p.load(v, -1)
-		if !first && after > relief*p.load(wanted, 0) {
-			continue
-		}
 		drop = append(drop, v)
-		lost += after
-		free += p.spec.Models[v].WeightsMB
-		if free >= spec.WeightsMB {
-			return drop, lost, true
+		loss += p.cost(v, -1) - p.cost(v, 0)
+		if free += p.spec.Models[v].WeightsMB; free >= spec.WeightsMB {
+			return drop, loss, true
 		}
 	}
 	return nil, 0, false
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -75,6 +75,8 @@
 	Models []Resident
 	// Pending are adapters on their way.
 	Pending []Name
+	// InUse counts the adapters that requests use; they can't make way.
+	InUse int
 	// InMemory and OnDisk are the models whose weights the host keeps outside the accelerator.
 	InMemory, OnDisk []string
 }
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -73,8 +73,18 @@
 	Fetch bool
 	// Candidates counts the endpoints that could take the request.
 	Candidates int
-	// Unread is the number of tokens that the endpoint has to read.
-	Unread int
+	// Unread is the number of tokens of the prompt that the endpoint has to read, Backlog
+	// that of the prompts before it.
+	Unread, Backlog int
+}
+
+// Whole returns the estimated time to the last token of an answer.
+func (c Choice) Whole(output int) time.Duration {
+	step := quietStep
+	if c.Backlog > busyBacklog {
+		step = busyStep
+	}
+	return c.Estimate + time.Duration(output)*step
 }
 
 // The weights of the choice. Times that are no estimate order equal endpoints.
@@ -98,6 +108,14 @@
 	// homeShare is the part of the shared prompt that the home of a prompt is thought to
 	// keep when the gateway has not seen it itself, because all gateways share homes.
 	homeShare = 0.6
+	// quietStep is the time of an output token in a batch, busyStep that while prompts are
+	// read all the time: a piece of 2,048 prompt tokens goes before each token.
+	quietStep, busyStep = 7 * time.Millisecond, 50 * time.Millisecond
+	// busyBacklog is the number of waiting prompt tokens from which reading doesn't pause:
+	// some pieces.
+	busyBacklog = 12000
+	// noPlace is the wait where all adapters are in use: a part of a typical run.
+	noPlace = 400 * time.Millisecond
 	// memoryFull is the share of an engine's memory beyond which requests are preempted.
 	memoryFull = 0.92
 	// stale is the age at which a keeper's report counts half.
@@ -200,7 +218,10 @@
 	if !whole {
 		est += fetchAdapter
 		orders = 1
-		if adapters(c.State) >= adapterSlots {
+		switch {
+		case c.State.Reported && c.State.Load.InUse >= adapterSlots:
+			est += noPlace
+		case adapters(c.State) >= adapterSlots:
 			est += evictAdapter
 			orders = 2
 		}
@@ -214,7 +235,7 @@
 	if c.State.Zone != req.Zone {
 		cost += otherDomain
 	}
-	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread}, cost
+	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread, Backlog: backlog}, cost
 }
 
 func adapters(s fleet.State) int {
--- a/internal/transport/desk/demand.go
+++ b/internal/transport/desk/demand.go
@@ -15,7 +15,7 @@
 	// readTime and madeTime are the endpoint time of a prompt token and of an output
 	// token in a batch.
 	readTime = 25 * time.Microsecond
-	madeTime = 400 * time.Microsecond
+	madeTime = 150 * time.Microsecond
 	// noDemand is the work below which a model isn't reported.
 	noDemand = 1e-3
 )
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -50,6 +50,8 @@
 	doing    order
 	endpoint string
 	gateways int
+	// refused are adapters that the keeper had no place for.
+	refused []string
 }
 
 // order is a planner's order at a keeper.
@@ -284,7 +286,7 @@
 	}
 	load := fleet.Load{
 		At: time.Now(), Born: m.Born, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Reading: m.Reading,
-		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk,
+		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk, InUse: m.InUse,
 	}
 	for _, x := range m.Models {
 		load.Models = append(load.Models, fleet.Resident{Model: x.Name, Version: x.Version, Adapters: x.Adapters})
@@ -292,14 +294,17 @@
 	for _, p := range m.Pending {
 		load.Pending = append(load.Pending, fleet.ParseName(p))
 	}
-	holdings := load.Sequence != r.load.Sequence || load.Alive != r.load.Alive || load.Busy != r.load.Busy || len(load.Models) != len(r.load.Models) || len(load.Pending) > 0
-	r.life, r.number, r.load, r.endpoint, r.gateways = m.Life, m.Number, load, m.Endpoint, m.Gateways
+	holdings := load.Sequence != r.load.Sequence || load.Alive != r.load.Alive || load.Busy != r.load.Busy || len(load.Models) != len(r.load.Models) || len(load.Pending) > 0 || len(m.Refused) > 0
+	r.life, r.number, r.load, r.endpoint, r.gateways, r.refused = m.Life, m.Number, load, m.Endpoint, m.Gateways, m.Refused
 	r.doing = order{m.Term, m.Move, m.Done}
 	d.rebuild(holdings)
 }
 
-// errFetch means that an adapter did not come.
-var errFetch = errors.New("the adapter was not loaded in time")
+// An adapter did not come, or the keeper has no place for it.
+var (
+	errFetch   = errors.New("the adapter was not loaded in time")
+	errNoPlace = errors.New("the endpoint has no place for the adapter now")
+)
 
 // Fetch asks the keeper of an endpoint for an adapter and waits until it is there.
 func (d *Desk) Fetch(ctx context.Context, e fleet.Endpoint, name fleet.Name) error {
@@ -308,10 +313,16 @@
 	if spec == nil {
 		return errFetch
 	}
+	asked := time.Now()
 	for {
 		d.mu.Lock()
 		changed := d.changed
+		r := d.reports[e.Address]
+		refused := r != nil && r.load.At.After(asked) && slices.Contains(r.refused, name.String())
 		d.mu.Unlock()
+		if refused {
+			return errNoPlace
+		}
 		for _, s := range d.States() {
 			if s.ID == e.ID {
 				if _, whole := fleet.Holds(s.Residents(), name); whole {
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -41,6 +41,8 @@
 	// misses is the number of reports in a row without an answer after which the engine
 	// counts as dead.
 	misses = 2
+	// refusedFor is how long gateways are told that an adapter found no place.
+	refusedFor = 300 * time.Millisecond
 	// configRetry is the pause between questions for the configuration.
 	configRetry = 400 * time.Millisecond
 )
@@ -76,6 +78,7 @@
 	moveAt   time.Time
 	term, id uint64
 	done     bool
+	refused  map[fleet.Name]time.Time
 	taken    []taken
 	restore  []string
 	specWake chan struct{}
@@ -94,7 +97,7 @@
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), specWake: make(chan struct{}, 1), life: time.Now().UnixNano(),
 		subs: map[string]subscriber{}, addrs: map[string]net.Addr{},
-		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{},
+		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{}, refused: map[fleet.Name]time.Time{},
 	}, nil
 }
 
@@ -172,6 +175,19 @@
 		st.Pending = append(st.Pending, p.String())
 	}
 	now := time.Now()
+	for n, at := range k.refused {
+		if now.Sub(at) > refusedFor {
+			delete(k.refused, n)
+			continue
+		}
+		st.Refused = append(st.Refused, n.String())
+	}
+	slices.Sort(st.Refused)
+	for _, n := range adapters(k.report) {
+		if now.Sub(k.used[n]) < inUse {
+			st.InUse++
+		}
+	}
 	for a, s := range k.subs {
 		if now.Sub(s.seen) > subscription {
 			delete(k.subs, a)
@@ -200,7 +216,7 @@
 // sameHoldings reports whether two states differ in the load only.
 func sameHoldings(a, b beat.State) bool {
 	return a.Alive == b.Alive && a.Born == b.Born && a.Sequence == b.Sequence && a.Busy == b.Busy && a.Done == b.Done && a.Move == b.Move &&
-		a.Gateways == b.Gateways && reflect.DeepEqual(a.Models, b.Models)
+		a.Gateways == b.Gateways && slices.Equal(a.Refused, b.Refused) && reflect.DeepEqual(a.Models, b.Models)
 }
 
 // leaving reports whether the planner's order drops a model.
@@ -242,7 +258,10 @@
 		k.mu.Unlock()
 		return true
 	case unfit:
-		k.log.WithFields(logrus.Fields{"adapter": st.name.String(), "why": st.why}).Info("an adapter was not loaded")
+		if _, told := k.refused[st.name]; !told {
+			k.log.WithFields(logrus.Fields{"adapter": st.name.String(), "why": st.why}).Info("an adapter was not loaded")
+		}
+		k.refused[st.name] = now
 		delete(k.wants, st.name)
 		k.mu.Unlock()
 		return true
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -208,6 +208,10 @@
 	req.Parts = pick.Parts(req.Name, c.in.Header.Get(h.cfg.Names.Prompt))
 	prompt, output := pick.Counts(c.in.Header.Get(h.cfg.Names.Tokens))
 	req.Output = output
+	if hint, err := strconv.Atoi(c.in.Header.Get(h.cfg.Names.Length)); err == nil && hint > 0 {
+		// The limit is far above what most answers take.
+		req.Output = min(hint, max(1, output))
+	}
 	if len(req.Parts) == 0 && prompt > 0 {
 		req.Parts = []pick.Part{{Tokens: prompt}}
 	}
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -57,7 +57,7 @@
 		}
 		now := time.Now()
 		list := h.track.candidates(h.fleet.States(), slots, c.req)
-		est := h.track.estimates(service.Name)
+		est := h.track.estimates(service.Name, c.req.Name.Model)
 		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, rand.Float64)
 		if !ok && len(c.req.Tried) > 0 {
 			break
@@ -73,8 +73,8 @@
 		if c.tries == 0 && len(c.req.Tried) == 0 && c.req.Name.Model != "" {
 			h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
 		}
-		if left := time.Until(c.limit); ch.Estimate > left && c.tries == 0 {
-			h.refuse(c, "too_late", min(ch.Estimate-left+startWait, left/4))
+		if left := time.Until(c.limit); ch.Whole(c.req.Output) > left && c.tries == 0 {
+			h.refuse(c, "too_late", max(startWait, min(ch.Whole(c.req.Output)-left, left/4)))
 			return
 		}
 		if c.tries > 0 && !h.track.repeat(service.Name, h.fleet.Gateways()) {
@@ -182,7 +182,7 @@
 		first()
 		if c.first == 0 {
 			c.first = time.Since(c.began)
-			h.track.latency(e, c.req.Service, c.req.Name.Model != "", c.choice.Unread, c.choice.Estimate, time.Since(sent))
+			h.track.latency(e, c.req, c.choice, time.Since(sent))
 			h.track.kept(e, c.req.Parts)
 		}
 	}
--- a/internal/transport/pass/track.go
+++ b/internal/transport/pass/track.go
@@ -20,6 +20,8 @@
 	mu     sync.Mutex
 	nodes  map[string]*node
 	models map[string]pick.Model
+	// pace is how many times longer a model takes than the mean model.
+	pace   map[string]float64
 	budget map[string]*again.Budget
 	limit  again.Limit
 	start  time.Time
@@ -49,10 +51,16 @@
 	firstWork = 50 * time.Millisecond
 	// learn is the weight of a new measurement in the means.
 	learn = 0.05
+	// paceTokens is the length of a prompt that says something of a model's pace.
+	paceTokens = 400
+	// paceLearn is the weight of a measurement in a model's pace, which stays between
+	// minPace and maxPace.
+	paceLearn        = 0.1
+	minPace, maxPace = 0.25, 3
 )
 
 func newTracker(limit again.Limit) *tracker {
-	return &tracker{nodes: map[string]*node{}, models: map[string]pick.Model{}, budget: map[string]*again.Budget{}, limit: limit, start: time.Now()}
+	return &tracker{nodes: map[string]*node{}, models: map[string]pick.Model{}, pace: map[string]float64{}, budget: map[string]*again.Budget{}, limit: limit, start: time.Now()}
 }
 
 func (t *tracker) node(e fleet.Endpoint) *node {
@@ -197,24 +205,37 @@
 }
 
 // latency notes a measured time to the first token, or to a plain answer.
-func (t *tracker) latency(e fleet.Endpoint, service string, engine bool, unread int, estimate, measured time.Duration) {
+func (t *tracker) latency(e fleet.Endpoint, req pick.Request, ch pick.Choice, measured time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := t.node(e)
-	n.trust = n.trust.WithLatency(measured, estimate, time.Now())
-	m := t.model(service)
-	if engine {
-		m.MeanUnread += int(learn * float64(unread-m.MeanUnread))
+	n.trust = n.trust.WithLatency(measured, ch.Estimate, time.Now())
+	m := t.model(req.Service)
+	if model := req.Name.Model; model != "" {
+		m.MeanUnread += int(learn * float64(ch.Unread-m.MeanUnread))
+		if ch.Backlog == 0 && ch.Unread > paceTokens && !ch.Fetch {
+			ratio := float64(measured) / float64(time.Duration(ch.Unread)*m.PerToken)
+			old, ok := t.pace[model]
+			if !ok {
+				old = 1
+			}
+			t.pace[model] = old + paceLearn*(min(maxPace, max(minPace, ratio))-old)
+		}
 	} else {
 		m.Work += time.Duration(learn * float64(measured-m.Work))
 	}
-	t.models[service] = m
+	t.models[req.Service] = m
 }
 
-func (t *tracker) estimates(service string) pick.Model {
+// estimates returns how time is estimated for a model of a service.
+func (t *tracker) estimates(service, model string) pick.Model {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.model(service)
+	m := t.model(service)
+	if pace, ok := t.pace[model]; ok {
+		m.PerToken = time.Duration(float64(m.PerToken) * pace)
+	}
+	return m
 }
 
 func (t *tracker) budgetOf(service string) *again.Budget {
