Engines say their id; first copies are weighed against further ones

Cause: after a loss of power keepers ordered under the id of the incarnation before and were turned away (101 orders with 421); the planner gave every model a first copy before a busy one got its second. Ruled out: fencing (the tokens rose).

--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -48,7 +48,7 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	// Address is the endpoint's.
 	Address string
-	// Endpoint is the id under which the keeper knows it, empty when none was told.
+	// Endpoint is the id that the endpoint itself has said, or empty.
 	Endpoint string
 	Born     int64
 	// Life and Number order the states of one keeper.
--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -47,6 +47,9 @@
 	// weights and from the weight store; a load is priced like a fraction of the requests
 	// that it helps.
 	nearGain, farGain = 0.08, 0.2
+	// missingCost is the cost of a model without a copy that nobody asks for; missingWork
+	// and missingWait weigh what is asked for: such requests are refused or wait.
+	missingCost, missingWork, missingWait = 0.3, 5, 0.5
 	// hostWeight is the cost of sharing a host with other busy models.
 	hostWeight = 0.5
 )
@@ -55,10 +58,16 @@
 // weight store may begin now.
 func Next(spec *fleet.Engine, hosts []Host, demand map[string]Demand, far bool) (Move, bool) {
 	p := newPlan(spec, hosts, demand)
-	if m, ok := p.reach(far); ok {
-		return m, true
+	reach, worth, ok := p.reach(far)
+	relieve, net, also := p.relieve(far)
+	switch {
+	case also && (!ok || net > worth):
+		return relieve, true
+	case ok:
+		return reach, true
+	default:
+		return Move{}, false
 	}
-	return p.relieve(far)
 }
 
 type plan struct {
@@ -103,29 +112,33 @@
 	return sum
 }
 
-// reach gives a model without a copy one: first those that requests wait for.
-func (p *plan) reach(far bool) (Move, bool) {
+// reach gives a model without a copy one, first those that requests wait for, and returns
+// what that is worth.
+func (p *plan) reach(far bool) (Move, float64, bool) {
 	var absent []string
 	for _, n := range p.names {
 		if p.copies[n] == 0 {
 			absent = append(absent, n)
 		}
 	}
-	slices.SortStableFunc(absent, func(a, b string) int {
-		da, db := p.demand[a], p.demand[b]
-		return cmp.Or(cmp.Compare(db.Waiting, da.Waiting), cmp.Compare(db.Work, da.Work))
-	})
+	slices.SortStableFunc(absent, func(a, b string) int { return cmp.Compare(p.missing(b), p.missing(a)) })
 	for _, n := range absent {
 		if m, ok := p.place(n, far); ok {
-			return m, true
+			return m, p.missing(n), true
 		}
 	}
-	return Move{}, false
+	return Move{}, 0, false
+}
+
+// missing returns the cost of a model without a copy.
+func (p *plan) missing(model string) float64 {
+	d := p.demand[model]
+	return missingCost + missingWork*d.Work + missingWait*float64(d.Waiting)
 }
 
-// relieve makes the move that shortens the queues most. The cost of a model is the square
+// relieve makes the move that shortens the queues most, and returns its net gain. The cost of a model is the square
 // of its work over its copies: the load of a copy, weighted by the work that meets it.
-func (p *plan) relieve(far bool) (Move, bool) {
+func (p *plan) relieve(far bool) (Move, float64, bool) {
 	var best Move
 	most, found := 0.0, false
 	for _, n := range p.names {
@@ -144,7 +157,7 @@
 			}
 		}
 	}
-	return best, found
+	return best, most, found
 }
 
 // relieveOn returns the net gain of a copy of a model on a host.
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -156,6 +156,10 @@
 		addrs[e.Address] = true
 		s := fleet.State{Endpoint: e}
 		if r, ok := d.reports[e.Address]; ok && newer(r.load, e, now) {
+			if r.endpoint != "" && r.endpoint != e.ID {
+				// The host runs another incarnation; this one is gone.
+				continue
+			}
 			s.Load, s.Reported = r.load, true
 		}
 		out = append(out, s)
--- a/internal/transport/keep/asks.go
+++ b/internal/transport/keep/asks.go
@@ -57,7 +57,7 @@
 
 // ask takes over what a gateway wants; it returns true if there is something to order.
 func (k *Keeper) ask(a *beat.Ask, from string, now time.Time) bool {
-	if a.Endpoint != "" && (k.endpoint == "" || a.Endpoint != k.endpoint && a.Born >= k.report.Born) {
+	if a.Endpoint != "" && !k.told && (k.endpoint == "" || a.Endpoint != k.endpoint && a.Born >= k.report.Born) {
 		k.endpoint = a.Endpoint
 	}
 	if k.specWant = a.Engine; k.specWant != k.specHave {
--- a/internal/transport/keep/engine.go
+++ b/internal/transport/keep/engine.go
@@ -44,4 +44,6 @@
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
 	Order(ctx context.Context, o Order) (Verdict, error)
+	// Identify returns the engine's id.
+	Identify(ctx context.Context) (string, error)
 }
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -66,6 +66,8 @@
 	subs     map[string]subscriber
 	addrs    map[string]net.Addr
 	endpoint string
+	// told is set once the engine itself has said its id.
+	told     bool
 	report   Report
 	missed   int
 	spec     *fleet.Engine
@@ -131,6 +133,7 @@
 	defer k.mu.Unlock()
 	if err != nil {
 		k.missed++
+		k.told = false
 		if k.missed == misses && ctx.Err() == nil {
 			k.log.WithError(err).Warn("the engine doesn't answer")
 			k.report.Alive = false
@@ -142,6 +145,7 @@
 		if r.Born != k.report.Born || r.Sequence < k.report.Sequence {
 			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence}).Info("the engine started")
 			k.used, k.taken = map[fleet.Name]time.Time{}, nil
+			k.told = false
 			k.restore = nil
 			for _, m := range k.report.Models {
 				k.restore = append(k.restore, m.Model)
@@ -153,17 +157,39 @@
 		}
 		k.missed, k.report = 0, r
 	}
+	if r.Alive && !k.told {
+		k.identify(ctx)
+	}
 	k.tell()
 }
 
+// identify asks the engine for its id, which is new after most restarts; registrations
+// under the old one stay for some seconds.
+func (k *Keeper) identify(ctx context.Context) {
+	k.mu.Unlock()
+	id, err := k.engine.Identify(ctx)
+	k.mu.Lock()
+	if err != nil {
+		k.log.WithError(err).Debug("the engine did not say its id")
+		return
+	}
+	if id != k.endpoint {
+		k.log.WithFields(logrus.Fields{"endpoint": id, "before": k.endpoint}).Info("the engine said its id")
+	}
+	k.endpoint, k.told = id, true
+}
+
 // tell sends the state to the gateways if it changed or the heartbeat is due.
 func (k *Keeper) tell() {
 	st := beat.State{
-		Address: k.cfg.Address, Endpoint: k.endpoint, Born: k.report.Born,
+		Address: k.cfg.Address, Born: k.report.Born,
 		Alive: k.report.Alive, Running: k.report.Running, Waiting: k.report.Waiting, Reading: k.report.Reading,
 		CacheUsed: k.report.CacheUsed, Cache: k.report.CacheTotal, Sequence: k.report.Sequence, Busy: k.report.Busy,
 		InMemory: k.report.InMemory, OnDisk: k.report.OnDisk, Term: k.term, Move: k.id, Done: k.done,
 	}
+	if k.told {
+		st.Endpoint = k.endpoint
+	}
 	for _, m := range k.report.Models {
 		if k.leaving(m.Model) {
 			// Requests that come now would wait for the unload and be turned away.
@@ -215,7 +241,7 @@
 
 // sameHoldings reports whether two states differ in the load only.
 func sameHoldings(a, b beat.State) bool {
-	return a.Alive == b.Alive && a.Born == b.Born && a.Sequence == b.Sequence && a.Busy == b.Busy && a.Done == b.Done && a.Move == b.Move &&
+	return a.Alive == b.Alive && a.Endpoint == b.Endpoint && a.Born == b.Born && a.Sequence == b.Sequence && a.Busy == b.Busy && a.Done == b.Done && a.Move == b.Move &&
 		a.Gateways == b.Gateways && slices.Equal(a.Refused, b.Refused) && reflect.DeepEqual(a.Models, b.Models)
 }
 
--- a/internal/transport/pass/headers.go
+++ b/internal/transport/pass/headers.go
@@ -25,6 +25,8 @@
 	NotRun string
 	// Instance names the only endpoint that may run the request.
 	Instance string
+	// Self is the id of the endpoint that answers.
+	Self string
 	// Priority is the request's rank at an engine; 0 goes first.
 	Priority    string
 	LastEventID string
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -171,7 +171,12 @@
 	}
 	defer resp.Close()
 	if resp.Header.Get(h.cfg.Names.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
-		h.track.result(e, true)
+		if self := resp.Header.Get(h.cfg.Names.Self); self != "" && self != e.ID {
+			// The address has a new owner; the registration is of the one before.
+			h.track.unreached(e)
+		} else {
+			h.track.result(e, true)
+		}
 		return another{reason: "turned_away_" + strconv.Itoa(resp.Status)}
 	}
 	if resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices && resp.Header.Get(h.cfg.Names.Signature) == "" {
