The planner's demand outlives a loss of all hosts

Cause: after all hosts lost power, each keeper restored what its disk held for 3 s while the planner, which knew no demand, was kept out by hosts that were busy; busy models had one copy for 5 s. Ruled out: the weight store (most copies are on the hosts' disks). Change: the planner writes the demand down every 4 s and its successor starts from it; registrations of dead incarnations don't count as missing keepers; hosts that load take the planner's next order; keepers restore by themselves only when no planner speaks.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,7 +80,7 @@
 		func(v *watch.View) { d.Refresh(v) }, log)
 	d, err := desk.New(desk.Settings{
 		Name: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, AskEvery: askEvery, SayEvery: sayEvery,
-	}, w.View, lease.New(src, lease.Settings{Key: "planner", Holder: cfg.Listen.Datagrams, Term: cfg.Store.LeaseTerm, Margin: orderDelay}), log)
+	}, w.View, lease.New(src, lease.Settings{Key: "planner", Holder: cfg.Listen.Datagrams, Term: cfg.Store.LeaseTerm, Margin: orderDelay}), src, log)
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -63,6 +63,8 @@
 	Busy             bool
 	Models           []Model
 	Pending          []string
+	// Loading are models on their way.
+	Loading          []string
 	InMemory, OnDisk []string
 	// InUse counts the adapters that requests use, Refused are adapters that were asked
 	// for lately and found no place.
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -73,8 +73,9 @@
 	// Busy is set while an order is carried out.
 	Busy   bool
 	Models []Resident
-	// Pending are adapters on their way.
+	// Pending are adapters, Loading models on their way.
 	Pending []Name
+	Loading []string
 	// InUse counts the adapters that requests use; they can't make way.
 	InUse int
 	// InMemory and OnDisk are the models whose weights the host keeps outside the accelerator.
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -14,6 +14,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/beat"
 	"chervilhead/internal/state/fleet"
@@ -83,7 +84,7 @@
 
 // New returns a desk that listens for datagrams. used returns what was asked for on an
 // endpoint since the last call.
-func New(cfg Settings, view func() *watch.View, lease Lease, log *logrus.Entry) (*Desk, error) {
+func New(cfg Settings, view func() *watch.View, lease Lease, rows store.Table, log *logrus.Entry) (*Desk, error) {
 	conn, err := net.ListenPacket("udp4", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
@@ -92,7 +93,7 @@
 		cfg: cfg, view: view, used: func(string) []string { return nil }, conn: conn, log: log,
 		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemand(),
 	}
-	d.planner = newPlanner(d, lease)
+	d.planner = newPlanner(d, lease, rows)
 	empty := []fleet.State{}
 	d.snap.Store(&empty)
 	return d, nil
@@ -290,7 +291,7 @@
 	}
 	load := fleet.Load{
 		At: time.Now(), Born: m.Born, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Reading: m.Reading,
-		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk, InUse: m.InUse,
+		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk, InUse: m.InUse, Loading: m.Loading,
 	}
 	for _, x := range m.Models {
 		load.Models = append(load.Models, fleet.Resident{Model: x.Name, Version: x.Version, Adapters: x.Adapters})
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -12,6 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"chervilhead/internal/coordination/lease"
+	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/beat"
 	"chervilhead/internal/state/copies"
 	"chervilhead/internal/state/fleet"
@@ -26,6 +28,8 @@
 	// Holder returns the holder at the last refresh.
 	Holder() string
 	Release(ctx context.Context) error
+	// Cond requires of a transaction that the lease is still this holder's.
+	Cond() store.Cond
 }
 
 const (
@@ -39,8 +43,9 @@
 	moveAgain = 150 * time.Millisecond
 	// demandFor is how long a gateway's report of demand counts.
 	demandFor = 4 * time.Second
-	// settle is how long a new planner listens before it decides.
-	settle = 700 * time.Millisecond
+	// settle is how long a new planner waits for keepers at most, and settleShare the share
+	// of them that is enough.
+	settle, settleShare = 900 * time.Millisecond, 0.85
 	// loadShare is the share of the weight store's rate that is used; the platform's
 	// bound is over sliding windows, and an order may start late.
 	loadShare = 0.9
@@ -66,6 +71,7 @@
 type planner struct {
 	desk  *Desk
 	lease Lease
+	rows  store.Table
 	life  int64
 
 	mu      sync.Mutex
@@ -79,10 +85,15 @@
 	tokens  float64
 	tokenAt time.Time
 	number  uint64
+	// stored is the demand that the planner before wrote down.
+	stored   map[modelKey]beat.ModelDemand
+	storedAt time.Time
+	// wrote is when the demand was last written down.
+	wrote time.Time
 }
 
-func newPlanner(d *Desk, l Lease) *planner {
-	return &planner{desk: d, lease: l, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}}
+func newPlanner(d *Desk, l Lease, rows store.Table) *planner {
+	return &planner{desk: d, lease: l, rows: rows, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}}
 }
 
 func (p *planner) run(ctx context.Context) {
@@ -117,6 +128,9 @@
 func (p *planner) hold(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := p.refresh(ctx)
+		if err == nil {
+			p.remember(ctx, time.Now())
+		}
 		if err != nil && !errors.Is(err, lease.ErrHeld) && ctx.Err() == nil {
 			p.desk.log.WithError(err).Debug("the planner's lease was not refreshed")
 		}
@@ -138,6 +152,12 @@
 	err := p.lease.Refresh(ctx, nil)
 	term, held := p.lease.Valid(time.Now())
 	p.mu.Lock()
+	known := p.term
+	p.mu.Unlock()
+	if held && term != known {
+		p.recall(ctx)
+	}
+	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holder, p.until = p.lease.Holder(), time.Time{}
 	if held {
@@ -197,7 +217,7 @@
 	v := p.desk.view()
 	reports := p.desk.reportsNow()
 	p.confirm(reports, now)
-	if now.Sub(p.since) < settle || !v.HasConfig {
+	if !v.HasConfig || now.Sub(p.since) < settle && !p.heardEnough(v, reports) {
 		return
 	}
 	for name, svc := range v.Config.Services() {
@@ -228,6 +248,18 @@
 	}
 }
 
+// heardEnough reports whether enough keepers have reported to decide.
+func (p *planner) heardEnough(v *watch.View, reports map[string]keeperState) bool {
+	// Registrations of incarnations that are gone lie beside the new ones for a while.
+	hosts := map[string]bool{}
+	for _, e := range v.Endpoints {
+		if p.desk.engineOf(v, e) != nil {
+			hosts[e.Address] = true
+		}
+	}
+	return len(hosts) > 0 && float64(len(reports)) >= settleShare*float64(len(hosts))
+}
+
 // maxMoves bounds the orders of one decision.
 const maxMoves = 8
 
@@ -247,6 +279,16 @@
 			}
 		}
 	}
+	// Until the gateways have measured the demand, that from before the takeover counts.
+	if age := now.Sub(p.storedAt); age < storedFor {
+		for k, m := range p.stored {
+			if k.service == service {
+				d := out[k.model]
+				d.Work = max(d.Work, m.Work*(1-float64(age)/float64(storedFor)))
+				out[k.model] = d
+			}
+		}
+	}
 	return out
 }
 
@@ -310,7 +352,7 @@
 			continue
 		}
 		_, reported := reports[s.ID]
-		h := copies.Host{ID: s.ID, Leaving: s.Leaving, Usable: reported && s.Load.Alive && !s.Load.Busy && now.Sub(s.Load.At) < silent}
+		h := copies.Host{ID: s.ID, Leaving: s.Leaving, Usable: reported && s.Load.Alive && now.Sub(s.Load.At) < silent}
 		if reported && !s.Load.Alive {
 			// What a dead engine held is gone.
 			h.Leaving = true
@@ -319,6 +361,9 @@
 			h.Models = append(h.Models, m.Model)
 			h.AdapterMB += float64(len(m.Adapters)) * spec.Models[m.Model].AdapterMB
 		}
+		if reported {
+			h.Models = append(h.Models, s.Load.Loading...)
+		}
 		h.Near = append(slices.Clone(s.Load.InMemory), s.Load.OnDisk...)
 		if u, ok := p.moves[s.ID]; ok {
 			h.Usable = false
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -83,6 +83,8 @@
 	refused  map[fleet.Name]time.Time
 	taken    []taken
 	restore  []string
+	// bornAt is when this keeper saw the engine start.
+	bornAt   time.Time
 	specWake chan struct{}
 	doubts   []doubt
 	number   uint64
@@ -143,14 +145,17 @@
 			k.log.WithField("missed", k.missed).Info("the engine answers again")
 		}
 		if r.Born != k.report.Born || r.Sequence < k.report.Sequence {
-			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence}).Info("the engine started")
+			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence, "in_memory": r.InMemory, "on_disk": r.OnDisk}).Info("the engine started")
 			k.used, k.taken = map[fleet.Name]time.Time{}, nil
-			k.told = false
+			k.told, k.bornAt = false, time.Now()
 			k.restore = nil
 			for _, m := range k.report.Models {
 				k.restore = append(k.restore, m.Model)
 			}
 		}
+		if k.bornAt.IsZero() {
+			k.bornAt = time.Now()
+		}
 		if len(r.Models) == 0 && len(k.restore) == 0 {
 			// The keeper started anew too; what the host keeps was in use before.
 			k.restore = append(slices.Clone(r.InMemory), r.OnDisk...)
@@ -201,6 +206,11 @@
 		st.Pending = append(st.Pending, p.String())
 	}
 	now := time.Now()
+	for _, t := range k.taken {
+		if !t.unload && t.name.Adapter == "" && !t.ended(k.report, now) {
+			st.Loading = append(st.Loading, t.name.Model)
+		}
+	}
 	for n, at := range k.refused {
 		if now.Sub(at) > refusedFor {
 			delete(k.refused, n)
@@ -242,7 +252,7 @@
 // sameHoldings reports whether two states differ in the load only.
 func sameHoldings(a, b beat.State) bool {
 	return a.Alive == b.Alive && a.Endpoint == b.Endpoint && a.Born == b.Born && a.Sequence == b.Sequence && a.Busy == b.Busy && a.Done == b.Done && a.Move == b.Move &&
-		a.Gateways == b.Gateways && slices.Equal(a.Refused, b.Refused) && reflect.DeepEqual(a.Models, b.Models)
+		a.Gateways == b.Gateways && slices.Equal(a.Refused, b.Refused) && slices.Equal(a.Loading, b.Loading) && reflect.DeepEqual(a.Models, b.Models)
 }
 
 // leaving reports whether the planner's order drops a model.
@@ -251,7 +261,7 @@
 }
 
 func (k *Keeper) situation(now time.Time) situation {
-	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, doubts: k.doubts, now: now}
+	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, born: k.bornAt, doubts: k.doubts, now: now}
 	for n, at := range k.wants {
 		_, whole := fleet.Holds(k.report.Models, n)
 		if now.Sub(at) > wantFor || whole {
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -20,8 +20,10 @@
 	move *beat.Move
 	// taken are orders that the engine accepted and hasn't ended yet.
 	taken []taken
-	// restore are models that the engine held before it started anew, the first first.
+	// restore are models that the engine held before it started anew, the first first;
+	// born is when the keeper saw that start.
 	restore []string
+	born    time.Time
 	// doubts are loads without an answer that may still be carried out.
 	doubts []doubt
 	now    time.Time
@@ -121,9 +123,16 @@
 	return nextRestore(s)
 }
 
+// plannerFirst is the time in which a planner that lives gives an order to an engine that
+// started; it knows the demand.
+const plannerFirst = 1200 * time.Millisecond
+
 // nextRestore loads what the engine held before, as far as the host still has its
 // weights: that takes less time than a planner needs to notice.
 func nextRestore(s situation) step {
+	if s.now.Sub(s.born) < plannerFirst {
+		return idle{}
+	}
 	for _, m := range s.restore {
 		name := fleet.Name{Model: m}
 		if held, _ := fleet.Holds(s.report.Models, name); held {
