Keep requests off hosts that fell silent; tests of the new decisions

Besides, the home of an adapter was credited with prompts although it did not hold the adapter. Ruled out: the cancelling of requests (the gateway closed its connections in time).

--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -88,6 +88,9 @@
 	Load Load
 	// Reported is set while the newest report says more than the registration.
 	Reported bool
+	// Silent is set when the keeper reported until lately and no longer does: its host may
+	// be frozen or cut off, and what is sent there may arrive long after.
+	Silent bool
 }
 
 // Residents returns what the endpoint holds by the newest source.
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -116,6 +116,9 @@
 	busyBacklog = 12000
 	// noPlace is the wait where all adapters are in use: a part of a typical run.
 	noPlace = 400 * time.Millisecond
+	// silentCost keeps requests off a host that may be frozen where there is another, and
+	// silentReading bounds those that wait there for a first token.
+	silentCost, silentReading = 500 * time.Millisecond, 1
 	// memoryFull is the share of an engine's memory beyond which requests are preempted.
 	memoryFull = 0.92
 	// stale is the age at which a keeper's report counts half.
@@ -162,6 +165,9 @@
 	if c.State.Reported && !c.State.Load.Alive && now.Sub(c.State.Load.At) < 2*stale {
 		return false
 	}
+	if c.State.Silent && c.Reading >= silentReading {
+		return false
+	}
 	if req.Name.Model == "" {
 		return true
 	}
@@ -186,7 +192,8 @@
 func engine(req Request, c Candidate, m Model, now time.Time, adapterSlots int, home string) (Choice, time.Duration) {
 	total := req.Tokens()
 	cached := min(c.Cached, total)
-	if c.State.ID == home {
+	_, whole := fleet.Holds(c.State.Residents(), req.Name)
+	if c.State.ID == home && whole {
 		shared := 0
 		for _, p := range req.Parts[:req.Shared] {
 			shared += p.Tokens
@@ -213,7 +220,6 @@
 			est += time.Duration((after - memoryFull) * float64(10*fullWait))
 		}
 	}
-	_, whole := fleet.Holds(c.State.Residents(), req.Name)
 	orders := 0
 	if !whole {
 		est += fetchAdapter
@@ -231,7 +237,11 @@
 		}
 	}
 	est = time.Duration(float64(est) * c.Trust.Pace(now))
-	cost := est + time.Duration(orders)*orderPrice + time.Duration(c.Trust.Failing(now)*float64(failCost))
+	cost := est + time.Duration(orders)*orderPrice
+	if c.State.Silent {
+		cost += silentCost
+	}
+	cost += time.Duration(c.Trust.Failing(now) * float64(failCost))
 	if c.State.Zone != req.Zone {
 		cost += otherDomain
 	}
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -39,6 +39,9 @@
 	// lately is the age up to which a report goes before the registration, which may be
 	// a heartbeat and a poll old.
 	lately = 1800 * time.Millisecond
+	// quietAfter is the age of a keeper's newest report from which its host is suspected, three
+	// heartbeats; quietFor is how long, as a keeper may be gone while its endpoint lives.
+	quietAfter, quietFor = 1250 * time.Millisecond, 20 * time.Second
 	// defaultGateways is the number of gateways before a keeper has told one.
 	defaultGateways = 8
 )
@@ -156,6 +159,10 @@
 	for _, e := range v.Endpoints {
 		addrs[e.Address] = true
 		s := fleet.State{Endpoint: e}
+		if r, ok := d.reports[e.Address]; ok {
+			age := now.Sub(r.load.At)
+			s.Silent = age > quietAfter && age < quietFor
+		}
 		if r, ok := d.reports[e.Address]; ok && newer(r.load, e, now) {
 			if r.endpoint != "" && r.endpoint != e.ID {
 				// The host runs another incarnation; this one is gone.
@@ -166,7 +173,7 @@
 		out = append(out, s)
 	}
 	for a := range d.reports {
-		if !addrs[a] && now.Sub(d.reports[a].load.At) > silent {
+		if !addrs[a] && now.Sub(d.reports[a].load.At) > quietFor {
 			delete(d.reports, a)
 		}
 	}
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"chervilhead/internal/protocol/hop"
 	"chervilhead/internal/state/again"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/jitter"
 	"chervilhead/internal/state/pick"
 )
 
@@ -41,6 +41,8 @@
 	// Zone is the gateway's failure domain.
 	Zone  string
 	Again again.Limit
+	// Random draws the choices that keep gateways from acting together; nil is random.
+	Random jitter.Random
 	// ConfigStale is the age from which an unconfirmed configuration may lack a route.
 	ConfigStale time.Duration
 }
@@ -64,6 +66,12 @@
 	return &Handler{cfg: cfg, view: view, fleet: f, pool: pool, track: newTracker(cfg.Again), log: log, met: met}
 }
 
+// draw returns a number in [0, 1).
+func (h *Handler) draw() float64 {
+	const steps = 1 << 30
+	return float64(h.cfg.Random.N(steps)) / steps
+}
+
 // Drain makes the handler end each connection after its answer.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
@@ -134,7 +142,7 @@
 		return
 	}
 	c.route = route
-	service, ok := v.Config.Service(route.Pick(rand.Float64()))
+	service, ok := v.Config.Service(route.Pick(h.draw()))
 	if !ok {
 		h.refuse(c, "no_service", startWait)
 		return
--- /dev/null
+++ b/internal/transport/pass/pass_test.go
@@ -0,0 +1,342 @@
+package pass
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/hop"
+	"chervilhead/internal/state/again"
+	"chervilhead/internal/state/fleet"
+)
+
+var testNames = Headers{
+	RequestID: "Test-Request", Deadline: "Test-Deadline", Model: "Test-Model", Tokens: "Test-Tokens", Prompt: "Test-Prompt",
+	Length: "Test-Length", Signature: "Test-Signature", NotRun: "Test-Not-Run", Instance: "Test-Instance", Self: "Test-Self",
+	Priority: "Test-Priority", LastEventID: "Last-Event-Id", Own: []string{"Test-Instance", "Test-Priority", "Test-Hold"},
+}
+
+// answerFunc plays an endpoint: it gets a request and the connection that it came on.
+type answerFunc func(r *http.Request, body string, c net.Conn)
+
+// endpoint is an endpoint that counts what it runs.
+type endpoint struct {
+	addr string
+	runs atomic.Int64
+	mu   sync.Mutex
+	last *http.Request
+	body string
+}
+
+func startEndpoint(t *testing.T, answer answerFunc) *endpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &endpoint{addr: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					b, err := io.ReadAll(r.Body)
+					if err != nil {
+						return
+					}
+					e.mu.Lock()
+					e.last, e.body = r, string(b)
+					e.mu.Unlock()
+					e.runs.Add(1)
+					answer(r, string(b), c)
+				}
+			}()
+		}
+	}()
+	return e
+}
+
+func reply(c net.Conn, r *http.Request, status int, header, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nTest-Request: %s\r\nTest-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Test-Request"), header, len(body), body)
+}
+
+func ok(r *http.Request, _ string, c net.Conn) { reply(c, r, 200, "", "fine") }
+
+func notRun(r *http.Request, _ string, c net.Conn) { reply(c, r, 503, "Test-Not-Run: 1\r\n", "full") }
+
+func breakOff(_ *http.Request, _ string, c net.Conn) { _ = c.Close() }
+
+// staticFleet is endpoints whose keepers say nothing.
+type staticFleet struct{ states []fleet.State }
+
+func (f staticFleet) States() []fleet.State { return f.states }
+func (f staticFleet) Fetch(context.Context, fleet.Endpoint, fleet.Name) error {
+	return nil
+}
+
+func (f staticFleet) Await(ctx context.Context, _, _ string) error {
+	<-ctx.Done()
+	return context.Cause(ctx)
+}
+func (f staticFleet) Asked(string, string, int, int) {}
+func (f staticFleet) Gateways() int                  { return 1 }
+
+type gateway struct {
+	*httptest.Server
+	view atomic.Pointer[watch.View]
+}
+
+func startGateway(t *testing.T, kind fleet.Kind, resumable bool, endpoints ...*endpoint) *gateway {
+	t.Helper()
+	var engine *fleet.Engine
+	if kind == fleet.Stream {
+		engine = &fleet.Engine{Slots: 4, AdapterSlots: 2, Models: map[string]fleet.Model{"m": {Name: "m", Load: time.Hour}}}
+	}
+	v := &watch.View{
+		HasConfig: true, ConfigAt: time.Now(), EndpointsAt: time.Now(), Endpoints: map[string]fleet.Endpoint{},
+		Config: fleet.NewConfig(1, []fleet.Route{{
+			Name: "r", Host: "test.example", Prefix: "/a/", Kind: kind, Timeout: 600 * time.Millisecond, Objective: 100 * time.Millisecond,
+			MaxAttempts: 2, Targets: []fleet.Target{{Service: "s", Weight: 1}}, Resumable: resumable,
+		}}, []fleet.Service{{Name: "s", Engine: engine}}, fleet.Limits{BodyBytes: 1 << 20}),
+	}
+	var states []fleet.State
+	for i, e := range endpoints {
+		ep := fleet.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Address: e.addr, Zone: "z", Slots: 4, Models: []fleet.Resident{{Model: "m"}}}
+		if i > 0 {
+			// Endpoints are tried in order.
+			ep.Zone = "far"
+		}
+		v.Endpoints[ep.ID] = ep
+		states = append(states, fleet.State{Endpoint: ep})
+	}
+	g := &gateway{}
+	g.view.Store(v)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := New(Settings{
+		Names: testNames, Zone: "z", Random: func(int64) int64 { return 0 }, ConfigStale: time.Second, Again: again.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+	}, g.view.Load, staticFleet{states}, hop.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
+	g.Server = httptest.NewServer(h)
+	t.Cleanup(g.Close)
+	return g
+}
+
+func (g *gateway) ask(t *testing.T, ctx context.Context, method, path string, header map[string]string, body string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, g.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "test.example"
+	req.Header.Set("Test-Request", "id-1")
+	req.Header.Set("Test-Deadline", "2000")
+	req.Header.Set("Test-Model", "m")
+	req.Header.Set("Test-Prompt", "a:100,b:20")
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+func TestUnchangedRequest(t *testing.T) {
+	e := startEndpoint(t, ok)
+	g := startGateway(t, fleet.Once, false, e)
+	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x%2Fy?q=1&q=%20", map[string]string{
+		"Test-Hold": "forged", "Test-Instance": "forged", "X-Other": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
+	}, "the body")
+	if err != nil || resp.StatusCode != 200 || body != "fine" || resp.Header.Get("Test-Signature") != "s" {
+		t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+	}
+	if got := e.last.RequestURI; got != "/a/x%2Fy?q=1&q=%20" {
+		t.Errorf("the endpoint got target %q", got)
+	}
+	if e.body != "the body" || e.last.Header.Get("X-Other") != "kept" || e.last.Host != "test.example" {
+		t.Errorf("the endpoint got body %q, header %v, host %q", e.body, e.last.Header, e.last.Host)
+	}
+	if e.last.Header.Get("Test-Hold") != "" || e.last.Header.Get("X-Hop") != "" || e.last.Header.Get("Test-Instance") != "e0" {
+		t.Errorf("fields of the system or of one connection were passed on: %v", e.last.Header)
+	}
+}
+
+func TestAttempts(t *testing.T) {
+	foreign := func(r *http.Request, _ string, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Request: another\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nwrong")
+		reply(c, r, 200, "", "fine")
+	}
+	unsigned := func(r *http.Request, _ string, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Request: %s\r\nContent-Length: 2\r\n\r\nno", r.Header.Get("Test-Request"))
+	}
+	short := func(r *http.Request, _ string, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Request: %s\r\nTest-Signature: s\r\nContent-Length: 9\r\n\r\nfi", r.Header.Get("Test-Request"))
+		_ = c.Close()
+	}
+	fail := func(r *http.Request, _ string, c net.Conn) { reply(c, r, 500, "", "failed") }
+	for _, tc := range []struct {
+		name          string
+		kind          fleet.Kind
+		first, second answerFunc
+		status        int
+		body          string
+		runs          [2]int64
+	}{
+		{"turned away goes to another", fleet.Once, notRun, ok, 200, "fine", [2]int64{1, 1}},
+		{"turned away everywhere has not run", fleet.Once, notRun, notRun, 503, "", [2]int64{1, 1}},
+		{"once is never repeated after a break", fleet.Once, breakOff, ok, 502, "", [2]int64{1, 0}},
+		{"once is never repeated after a failure", fleet.Once, fail, ok, 500, "failed", [2]int64{1, 0}},
+		{"idempotent is repeated after a break", fleet.Idempotent, breakOff, ok, 200, "fine", [2]int64{1, 1}},
+		{"idempotent is repeated after a failure", fleet.Idempotent, fail, ok, 200, "fine", [2]int64{1, 1}},
+		{"a short answer is repeated", fleet.Idempotent, short, ok, 200, "fine", [2]int64{1, 1}},
+		{"a short answer of once is no success", fleet.Once, short, ok, 502, "", [2]int64{1, 0}},
+		{"another request's answer is skipped", fleet.Once, foreign, ok, 200, "fine", [2]int64{1, 0}},
+		{"a success without signature is none", fleet.Once, unsigned, ok, 502, "", [2]int64{1, 0}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := startEndpoint(t, tc.first), startEndpoint(t, tc.second)
+			g := startGateway(t, tc.kind, false, a, b)
+			resp, body, err := g.ask(t, context.Background(), "GET", "/a/x", nil, "")
+			if err != nil || resp.StatusCode != tc.status || tc.body != "" && body != tc.body {
+				t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+			}
+			if got := [2]int64{a.runs.Load(), b.runs.Load()}; got != tc.runs {
+				t.Errorf("arrivals %v, want %v", got, tc.runs)
+			}
+			if tc.status == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Error("a refusal doesn't say when to come back")
+			}
+		})
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", id, id) }
+
+func startStream(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Request: %s\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Test-Request"))
+}
+
+func chunk(c net.Conn, s string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s) }
+
+// breaking sends two events and a half of the third.
+func breaking(r *http.Request, _ string, c net.Conn) {
+	startStream(c, r)
+	chunk(c, event(1)+event(2)+event(3)[:7])
+	_ = c.Close()
+}
+
+func TestResumedStream(t *testing.T) {
+	rest := func(r *http.Request, _ string, c net.Conn) {
+		startStream(c, r)
+		for i := 1; i <= 4; i++ {
+			if fmt.Sprint(i) > r.Header.Get("Last-Event-Id") {
+				chunk(c, event(i))
+			}
+		}
+		chunk(c, "")
+	}
+	g := startGateway(t, fleet.Stream, true, startEndpoint(t, breaking), startEndpoint(t, rest))
+	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
+	if want := event(1) + event(2) + event(3) + event(4); err != nil || resp.StatusCode != 200 || body != want {
+		t.Fatalf("body %q, error %v", body, err)
+	}
+}
+
+func TestBrokenStreamIsNotWhole(t *testing.T) {
+	second := startEndpoint(t, ok)
+	g := startGateway(t, fleet.Stream, false, startEndpoint(t, breaking), second)
+	_, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
+	if err == nil {
+		t.Fatal("a broken stream looked whole")
+	}
+	if body != event(1)+event(2) || second.runs.Load() != 0 {
+		t.Errorf("body %q, arrivals at the second endpoint %d", body, second.runs.Load())
+	}
+}
+
+func TestRouteTimeout(t *testing.T) {
+	hang := func(*http.Request, string, net.Conn) { time.Sleep(3 * time.Second) }
+	g := startGateway(t, fleet.Once, false, startEndpoint(t, hang))
+	began := time.Now()
+	resp, _, err := g.ask(t, context.Background(), "GET", "/a/x", nil, "")
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("answer %v, error %v", resp, err)
+	}
+	// The platform counts an answer as late half a second after the route's timeout.
+	if took := time.Since(began); took > 1100*time.Millisecond {
+		t.Errorf("the answer came after %s; the route's timeout is 600ms", took)
+	}
+}
+
+func TestClientLeaves(t *testing.T) {
+	left := make(chan struct{})
+	wait := func(_ *http.Request, _ string, c net.Conn) {
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			close(left)
+		}
+	}
+	g := startGateway(t, fleet.Once, false, startEndpoint(t, wait))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	if _, _, err := g.ask(t, ctx, "GET", "/a/x", nil, ""); err == nil {
+		t.Fatal("the client got an answer")
+	}
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the endpoint still worked half a second after the client had left")
+	}
+}
+
+func TestRoutes(t *testing.T) {
+	g := startGateway(t, fleet.Once, false, startEndpoint(t, ok))
+	status := func(path string) int {
+		resp, _, err := g.ask(t, context.Background(), "GET", path, nil, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode
+	}
+	if got := status("/none"); got != http.StatusNotFound {
+		t.Errorf("a path without a route got %d", got)
+	}
+	stale := *g.view.Load()
+	stale.ConfigAt = time.Now().Add(-time.Minute)
+	g.view.Store(&stale)
+	if got := status("/none"); got != http.StatusServiceUnavailable {
+		t.Errorf("a path that a newer configuration may have got %d", got)
+	}
+	if got := status("/a/x"); got != http.StatusOK {
+		t.Errorf("a known route got %d while the store was away", got)
+	}
+	g.view.Store(&watch.View{})
+	if got := status("/a/x"); got != http.StatusServiceUnavailable {
+		t.Errorf("a gateway without a configuration answered %d", got)
+	}
+}
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,7 +57,7 @@
 		now := time.Now()
 		list := h.track.candidates(h.fleet.States(), slots, c.req)
 		est := h.track.estimates(service.Name, c.req.Name.Model)
-		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, rand.Float64)
+		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, h.draw)
 		if !ok && len(c.req.Tried) > 0 {
 			break
 		}
