Gateways share what engines keep; adapters without a place wait and ask for copies

Ruled out: refusals at once with a longer pause alone (they stay unserved). Change: shared parts of prompts travel with the asks and states; a request waits up to 0.15 of its time for a place, and the planner counts it as work; what is refused for want of capacity comes back after a quarter of its time; the time of an answer is estimated from the prompts that wait. Log lines hold the age and version of what decided; 'explain' shows a request's life.

--- /dev/null
+++ b/internal/cmds/explain_test.go
@@ -0,0 +1,39 @@
+package cmds
+
+import (
+	"strings"
+	"testing"
+)
+
+const explainLog = `
+ 1.0 gw-1 {"endpoint":"e1","message":"endpoint listed","time":"2026-01-01T00:00:01Z"}
+ 2.0 gw-2 {"endpoint":"e9","message":"endpoint listed","time":"2026-01-01T00:00:02Z"}
+ 3.1 gw-1 {"request":"r1","endpoint":"e1","message":"attempt failed","why":"request failed (sent): EOF","took_ms":100,"time":"2026-01-01T00:00:03.1Z"}
+ 3.0 side {"endpoint":"e1","message":"a model moves","load":"m","time":"2026-01-01T00:00:03Z"}
+not a log line {
+ 3.3 gw-1 {"request":"r2","endpoint":"e1","message":"request ended","time":"2026-01-01T00:00:03.2Z"}
+ 3.2 gw-1 {"request":"r1","endpoint":"e1","message":"request ended","status":502,"error":null,"took_ms":200,"time":"2026-01-01T00:00:03.2Z"}
+ 9.9 gw-1 {"endpoint":"e1","message":"endpoint gone","time":"2026-01-01T00:00:09.9Z"}
+`
+
+func TestExplain(t *testing.T) {
+	lines, err := readLog(strings.NewReader(explainLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := explain(&b, "r1", lines); err != nil {
+		t.Fatal(err)
+	}
+	want := `00:00:01.000 1.0 gw-1  endpoint listed endpoint="e1"
+00:00:03.000 3.0 side  a model moves endpoint="e1" load="m"
+00:00:03.100 3.1 gw-1  attempt failed endpoint="e1" request="r1" took_ms=100 why="request failed (sent): EOF"
+00:00:03.200 3.2 gw-1  request ended endpoint="e1" request="r1" status=502 took_ms=200
+`
+	if b.String() != want {
+		t.Errorf("got\n%swant\n%s", b.String(), want)
+	}
+	if err := explain(&b, "r3", lines); err == nil {
+		t.Error("an unknown request was explained")
+	}
+}
--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -26,6 +26,8 @@
 	Engine uint64
 	// Used are the names asked for on the endpoint since the last ask.
 	Used []string
+	// Kept are the chains of shared prompt parts that the endpoint has read since the last ask.
+	Kept []uint64
 	// Want are adapters that a request waits for.
 	Want []string
 	// Move is a planner's order, or nil.
@@ -66,6 +68,8 @@
 	// Loading are models on their way.
 	Loading          []string
 	InMemory, OnDisk []string
+	// Kept are the chains of prompt parts that gateways saw the endpoint read lately.
+	Kept []uint64
 	// InUse counts the adapters that requests use, Refused are adapters that were asked
 	// for lately and found no place.
 	InUse   int
--- a/internal/report/log.go
+++ b/internal/report/log.go
@@ -7,6 +7,9 @@
 	"github.com/sirupsen/logrus"
 )
 
+// timeFormat orders the lines of several processes within a second.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
 // NewLog returns a logger that writes JSON lines at a level to w.
 func NewLog(w io.Writer, level string) (*logrus.Logger, error) {
 	if level == "" {
@@ -19,6 +22,6 @@
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(l)
-	log.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}})
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat, FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "message"}})
 	return log, nil
 }
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -76,15 +76,14 @@
 	// Unread is the number of tokens of the prompt that the endpoint has to read, Backlog
 	// that of the prompts before it.
 	Unread, Backlog int
+	// Reading is the time to read the backlog.
+	Reading time.Duration
 }
 
-// Whole returns the estimated time to the last token of an answer.
+// Whole returns the estimated time to the last token of an answer. While prompts are read
+// a piece of one goes before each token; as many are thought to come as wait now.
 func (c Choice) Whole(output int) time.Duration {
-	step := quietStep
-	if c.Backlog > busyBacklog {
-		step = busyStep
-	}
-	return c.Estimate + time.Duration(output)*step
+	return c.Estimate + time.Duration(output)*quietStep + min(time.Duration(output)*pieceStep, 2*c.Reading)
 }
 
 // The weights of the choice. Times that are no estimate order equal endpoints.
@@ -108,12 +107,9 @@
 	// homeShare is the part of the shared prompt that the home of a prompt is thought to
 	// keep when the gateway has not seen it itself, because all gateways share homes.
 	homeShare = 0.6
-	// quietStep is the time of an output token in a batch, busyStep that while prompts are
-	// read all the time: a piece of 2,048 prompt tokens goes before each token.
-	quietStep, busyStep = 7 * time.Millisecond, 50 * time.Millisecond
-	// busyBacklog is the number of waiting prompt tokens from which reading doesn't pause:
-	// some pieces.
-	busyBacklog = 12000
+	// quietStep is the time of an output token in a batch, pieceStep that of a piece of
+	// 2,048 prompt tokens before it.
+	quietStep, pieceStep = 7 * time.Millisecond, 45 * time.Millisecond
 	// noPlace is the wait where all adapters are in use: a part of a typical run.
 	noPlace = 400 * time.Millisecond
 	// silentCost keeps requests off a host that may be frozen where there is another, and
@@ -245,7 +241,7 @@
 	if c.State.Zone != req.Zone {
 		cost += otherDomain
 	}
-	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread, Backlog: backlog}, cost
+	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread, Backlog: backlog, Reading: time.Duration(backlog) * m.PerToken}, cost
 }
 
 func adapters(s fleet.State) int {
--- a/internal/transport/desk/demand.go
+++ b/internal/transport/desk/demand.go
@@ -55,6 +55,16 @@
 	m.sum += float64(read)*readTime.Seconds() + float64(made)*madeTime.Seconds()
 }
 
+// crowdedWork is the endpoint time that a request without a place for its adapter stands
+// for: further copies have further places.
+const crowdedWork = 0.25
+
+func (d *demand) crowded(service, model string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter(modelKey{service, model}, now).sum += crowdedWork
+}
+
 // wait counts a request that waits for a model until the returned function is called.
 func (d *demand) wait(service, model string) func() {
 	d.mu.Lock()
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -68,9 +68,12 @@
 type Desk struct {
 	cfg  Settings
 	view func() *watch.View
-	used func(id string) []string
-	conn net.PacketConn
-	log  *logrus.Entry
+	// used returns what was used on an endpoint since the last call, learn takes what other
+	// gateways saw there.
+	used  func(id string) (adapters []string, read []uint64)
+	learn func(e fleet.Endpoint, chains []uint64)
+	conn  net.PacketConn
+	log   *logrus.Entry
 
 	mu sync.Mutex
 	// reports are by address of the endpoint.
@@ -93,7 +96,7 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	d := &Desk{
-		cfg: cfg, view: view, used: func(string) []string { return nil }, conn: conn, log: log,
+		cfg: cfg, view: view, used: func(string) ([]string, []uint64) { return nil, nil }, learn: func(fleet.Endpoint, []uint64) {}, conn: conn, log: log,
 		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemand(),
 	}
 	d.planner = newPlanner(d, lease, rows)
@@ -102,8 +105,11 @@
 	return d, nil
 }
 
-// SetUsed sets where the desk learns what was asked for on an endpoint since it asked last.
-func (d *Desk) SetUsed(used func(id string) []string) { d.used = used }
+// Exchange sets where the desk learns what was used on an endpoint since it asked last,
+// and what takes the prompts that other gateways saw there.
+func (d *Desk) Exchange(used func(id string) ([]string, []uint64), learn func(fleet.Endpoint, []uint64)) {
+	d.used, d.learn = used, learn
+}
 
 // Run serves the desk until the context ends.
 func (d *Desk) Run(ctx context.Context) {
@@ -239,7 +245,8 @@
 func (d *Desk) askThese(v *watch.View, list []fleet.Endpoint) {
 	for _, e := range list {
 		if spec := d.engineOf(v, e); spec != nil {
-			d.ask(e, &beat.Ask{Used: d.used(e.ID), Engine: d.specHash(v.Config.Version, e.Service, spec)})
+			used, read := d.used(e.ID)
+			d.ask(e, &beat.Ask{Used: used, Kept: read, Engine: d.specHash(v.Config.Version, e.Service, spec)})
 		}
 	}
 }
@@ -310,6 +317,13 @@
 	r.life, r.number, r.load, r.endpoint, r.gateways, r.refused = m.Life, m.Number, load, m.Endpoint, m.Gateways, m.Refused
 	r.doing = order{m.Term, m.Move, m.Done}
 	d.rebuild(holdings)
+	if len(m.Kept) > 0 {
+		for _, s := range *d.snap.Load() {
+			if s.Address == m.Address {
+				d.learn(s.Endpoint, m.Kept)
+			}
+		}
+	}
 }
 
 // An adapter did not come, or the keeper has no place for it.
@@ -387,6 +401,9 @@
 	d.demand.add(service, model, read, made, time.Now())
 }
 
+// Crowded notes that a request for a model found no place for its adapter.
+func (d *Desk) Crowded(service, model string) { d.demand.crowded(service, model, time.Now()) }
+
 // Gateways returns the number of gateways that keepers see.
 func (d *Desk) Gateways() int {
 	d.mu.Lock()
--- a/internal/transport/keep/asks.go
+++ b/internal/transport/keep/asks.go
@@ -69,6 +69,9 @@
 	for _, u := range a.Used {
 		k.used[fleet.ParseName(u)] = now
 	}
+	for _, c := range a.Kept {
+		k.kept[c] = now
+	}
 	urgent := false
 	for _, w := range a.Want {
 		n := fleet.ParseName(w)
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -43,6 +43,9 @@
 	misses = 2
 	// refusedFor is how long gateways are told that an adapter found no place.
 	refusedFor = 300 * time.Millisecond
+	// keptFor is how long gateways are told of a part of a prompt: three states, as one may
+	// be lost; maxKept bounds the parts of one state.
+	keptFor, maxKept = 1300 * time.Millisecond, 128
 	// configRetry is the pause between questions for the configuration.
 	configRetry = 400 * time.Millisecond
 )
@@ -81,8 +84,10 @@
 	term, id uint64
 	done     bool
 	refused  map[fleet.Name]time.Time
-	taken    []taken
-	restore  []string
+	// kept are the chains of prompt parts that gateways saw the engine read.
+	kept    map[uint64]time.Time
+	taken   []taken
+	restore []string
 	// bornAt is when this keeper saw the engine start.
 	bornAt   time.Time
 	specWake chan struct{}
@@ -101,7 +106,7 @@
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), specWake: make(chan struct{}, 1), life: time.Now().UnixNano(),
 		subs: map[string]subscriber{}, addrs: map[string]net.Addr{},
-		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{}, refused: map[fleet.Name]time.Time{},
+		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{}, refused: map[fleet.Name]time.Time{}, kept: map[uint64]time.Time{},
 	}, nil
 }
 
@@ -147,6 +152,7 @@
 		if r.Born != k.report.Born || r.Sequence < k.report.Sequence {
 			k.log.WithFields(logrus.Fields{"born": r.Born, "before": k.report.Born, "sequence": r.Sequence, "in_memory": r.InMemory, "on_disk": r.OnDisk}).Info("the engine started")
 			k.used, k.taken = map[fleet.Name]time.Time{}, nil
+			clear(k.kept)
 			k.told, k.bornAt = false, time.Now()
 			k.restore = nil
 			for _, m := range k.report.Models {
@@ -219,6 +225,16 @@
 		st.Refused = append(st.Refused, n.String())
 	}
 	slices.Sort(st.Refused)
+	for c, at := range k.kept {
+		if now.Sub(at) > keptFor {
+			delete(k.kept, c)
+			continue
+		}
+		if len(st.Kept) < maxKept {
+			st.Kept = append(st.Kept, c)
+		}
+	}
+	slices.Sort(st.Kept)
 	for _, n := range adapters(k.report) {
 		if now.Sub(k.used[n]) < inUse {
 			st.InUse++
--- a/internal/transport/pass/answer.go
+++ b/internal/transport/pass/answer.go
@@ -117,9 +117,18 @@
 	}
 }
 
+// comeBackPart is the part of the time left after which a caller is asked to come back:
+// clients wait up to a third of it, and what is refused for want of capacity fits only
+// after the load has moved on or models have moved.
+const comeBackPart = 4
+
 // comeBack says when a request that was turned away everywhere may fit.
 func (h *Handler) comeBack(c *call) time.Duration {
-	return max(50*time.Millisecond, min(c.choice.Estimate, time.Until(c.limit)/4))
+	left := time.Until(c.limit)
+	if len(c.full) > 0 {
+		return left / comeBackPart
+	}
+	return max(50*time.Millisecond, min(c.choice.Estimate, left/comeBackPart))
 }
 
 // refuse answers that the request has not run and when to come back.
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -31,6 +31,8 @@
 	// Asked notes demand: a request for a model whose prompt has so many tokens to read
 	// and whose answer so many tokens to make.
 	Asked(service, model string, read, made int)
+	// Crowded notes that a request for a model found no place for its adapter.
+	Crowded(service, model string)
 	// Gateways returns the number of gateways, as far as it is known.
 	Gateways() int
 }
@@ -75,8 +77,14 @@
 // Drain makes the handler end each connection after its answer.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
-// Used returns the models and adapters used on an endpoint since the last call.
-func (h *Handler) Used(id string) []string { return h.track.used(id) }
+// Used returns the adapters used on an endpoint and the shared parts of prompts that it
+// has read since the last call.
+func (h *Handler) Used(id string) (adapters []string, read []uint64) {
+	return h.track.used(id), h.track.read(id)
+}
+
+// Learn notes shared parts of prompts that other gateways saw an endpoint read.
+func (h *Handler) Learn(e fleet.Endpoint, chains []uint64) { h.track.learn(e, chains) }
 
 // Tidy drops what is kept for endpoints that are gone.
 func (h *Handler) Tidy() {
@@ -110,7 +118,13 @@
 	// begun is set once the client has received a part of the answer.
 	begun  bool
 	choice pick.Choice
-	lastID string
+	// reportAge is the age of the keeper's report that the choice rests on, config the
+	// version of the configuration in force.
+	reportAge time.Duration
+	config    uint64
+	lastID    string
+	// full are endpoints that had no place for the adapter.
+	full []string
 	// outcome says in the log how the request ended.
 	outcome string
 	status  int
@@ -141,7 +155,7 @@
 		h.end(c, http.StatusNotFound, "no_route")
 		return
 	}
-	c.route = route
+	c.route, c.config = route, v.Config.Version
 	service, ok := v.Config.Service(route.Pick(h.draw()))
 	if !ok {
 		h.refuse(c, "no_service", startWait)
--- a/internal/transport/pass/metrics.go
+++ b/internal/transport/pass/metrics.go
@@ -40,8 +40,18 @@
 	}
 	h.log.WithFields(logrus.Fields{
 		"request": c.id, "route": c.route.Name, "name": c.req.Name.String(), "endpoint": c.choice.ID, "candidates": c.choice.Candidates,
-		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.Unread, "fetch": c.choice.Fetch,
+		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.Unread, "backlog": c.choice.Backlog, "fetch": c.choice.Fetch,
+		"report_age_ms": c.reportAge.Milliseconds(), "config": c.config, "left_ms": time.Until(c.limit).Milliseconds(),
 		"tries": c.tries, "runs": c.runs, "status": c.status, "outcome": c.outcome,
 		"first_ms": c.first.Milliseconds(), "took_ms": time.Since(c.began).Milliseconds(),
 	}).Info("request ended")
 }
+
+// noteAttempt writes a line on an attempt that didn't end the request.
+func (h *Handler) noteAttempt(c *call, v another) {
+	h.log.WithFields(logrus.Fields{
+		"request": c.id, "endpoint": c.choice.ID, "may_have_run": v.ran, "why": v.reason,
+		"estimate_ms": c.choice.Estimate.Milliseconds(), "report_age_ms": c.reportAge.Milliseconds(),
+		"took_ms": time.Since(c.began).Milliseconds(),
+	}).Info("attempt failed")
+}
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -102,6 +102,7 @@
 	return context.Cause(ctx)
 }
 func (f staticFleet) Asked(string, string, int, int) {}
+func (f staticFleet) Crowded(string, string)         {}
 func (f staticFleet) Gateways() int                  { return 1 }
 
 type gateway struct {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,6 +59,9 @@
 		list := h.track.candidates(h.fleet.States(), slots, c.req)
 		est := h.track.estimates(service.Name, c.req.Name.Model)
 		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, h.draw)
+		if !ok && len(c.full) > 0 && h.waitForPlace(c) {
+			continue
+		}
 		if !ok && len(c.req.Tried) > 0 {
 			break
 		}
@@ -73,21 +77,25 @@
 			h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
 		}
 		if left := time.Until(c.limit); ch.Whole(c.req.Output) > left && c.tries == 0 {
-			h.refuse(c, "too_late", max(startWait, min(ch.Whole(c.req.Output)-left, left/4)))
+			h.refuse(c, "too_late", left/comeBackPart)
 			return
 		}
 		if c.tries > 0 && !h.track.repeat(service.Name, h.fleet.Gateways()) {
 			last.reason += ",no_budget"
 			break
 		}
-		e := stateOf(list, ch.ID)
+		st := stateOf(list, ch.ID)
+		e := st.Endpoint
+		if st.Reported {
+			c.reportAge = now.Sub(st.Load.At)
+		}
 		if ch.Fetch {
 			if err := h.fetch(c, e); err != nil {
 				c.req.Tried = append(c.req.Tried, e.ID)
+				c.full = append(c.full, e.ID)
+				h.fleet.Crowded(service.Name, c.req.Name.Model)
 				last.reason = "adapter_not_loaded"
-				if len(c.req.Tried) >= maxTries {
-					break
-				}
+				h.noteAttempt(c, another{reason: err.Error()})
 				continue
 			}
 		}
@@ -98,6 +106,7 @@
 		case another:
 			c.req.Tried = append(c.req.Tried, e.ID)
 			last = v
+			h.noteAttempt(c, v)
 			if v.ran {
 				c.runs++
 				if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts || c.begun && c.lastID == "" {
@@ -110,16 +119,40 @@
 	h.giveUp(c, last)
 }
 
+// placeAgain is the pause before endpoints whose places for adapters were all in use are
+// asked again; placeShare is the part of a request's time that it may wait so.
+const (
+	placeAgain = 150 * time.Millisecond
+	placeShare = 0.15
+)
+
+// waitForPlace waits until endpoints that had no place for the adapter may have one.
+func (h *Handler) waitForPlace(c *call) bool {
+	if float64(time.Since(c.began)) > placeShare*float64(c.limit.Sub(c.began)) {
+		return false
+	}
+	t := time.NewTimer(placeAgain)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ctx.Done():
+		return false
+	}
+	c.req.Tried = slices.DeleteFunc(c.req.Tried, func(id string) bool { return slices.Contains(c.full, id) })
+	c.full = nil
+	return true
+}
+
 // noEndpointWait is how long a caller waits for an endpoint; the store's view is renewed more often.
 const noEndpointWait = 700 * time.Millisecond
 
-func stateOf(list []pick.Candidate, id string) fleet.Endpoint {
+func stateOf(list []pick.Candidate, id string) fleet.State {
 	for _, c := range list {
 		if c.State.ID == id {
-			return c.State.Endpoint
+			return c.State
 		}
 	}
-	return fleet.Endpoint{}
+	return fleet.State{}
 }
 
 // fetchTimeout bounds the wait for an adapter, which takes some milliseconds.
@@ -187,7 +220,7 @@
 		if c.first == 0 {
 			c.first = time.Since(c.began)
 			h.track.latency(e, c.req, c.choice, time.Since(sent))
-			h.track.kept(e, c.req.Parts)
+			h.track.kept(e, c.req.Parts, c.req.Shared)
 		}
 	}
 	if c.begun && resp.Status != http.StatusOK {
--- a/internal/transport/pass/track.go
+++ b/internal/transport/pass/track.go
@@ -36,8 +36,10 @@
 	prompts         map[uint64]*list.Element
 	recent          *list.List
 	// used are the adapters asked for since the last look, active the names with requests in flight.
-	used    map[string]struct{}
-	active  map[string]int
+	used   map[string]struct{}
+	active map[string]int
+	// read are the shared parts read since the last look.
+	read    []uint64
 	lastUse time.Time
 }
 
@@ -146,6 +148,9 @@
 	return first, end
 }
 
+// maxRead bounds the parts of prompts that are reported as read between two asks.
+const maxRead = 48
+
 // maxUsed bounds the names that are reported as used between two asks.
 const maxUsed = 64
 
@@ -171,24 +176,55 @@
 	return out
 }
 
-// kept notes that an endpoint keeps a prompt's parts.
-func (t *tracker) kept(e fleet.Endpoint, parts []pick.Part) {
+// kept notes that an endpoint keeps a prompt's parts, the first shared of which other
+// requests have too.
+func (t *tracker) kept(e fleet.Endpoint, parts []pick.Part, shared int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := t.node(e)
-	for _, p := range parts {
-		if el, ok := n.prompts[p.Chain]; ok {
-			n.recent.MoveToFront(el)
-			continue
-		}
-		n.prompts[p.Chain] = n.recent.PushFront(p.Chain)
-		if n.recent.Len() > maxPrompts {
-			last := n.recent.Back()
-			delete(n.prompts, n.recent.Remove(last).(uint64))
+	for i, p := range parts {
+		n.keep(p.Chain)
+		if i < shared && len(n.read) < maxRead {
+			n.read = append(n.read, p.Chain)
 		}
 	}
 }
 
+// learn notes what other gateways saw an endpoint read.
+func (t *tracker) learn(e fleet.Endpoint, chains []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.node(e)
+	for _, c := range chains {
+		n.keep(c)
+	}
+}
+
+// read returns the shared parts that an endpoint has read since the last call.
+func (t *tracker) read(id string) []uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n, ok := t.nodes[id]
+	if !ok {
+		return nil
+	}
+	out := n.read
+	n.read = nil
+	return out
+}
+
+func (n *node) keep(chain uint64) {
+	if el, ok := n.prompts[chain]; ok {
+		n.recent.MoveToFront(el)
+		return
+	}
+	n.prompts[chain] = n.recent.PushFront(chain)
+	if n.recent.Len() > maxPrompts {
+		last := n.recent.Back()
+		delete(n.prompts, n.recent.Remove(last).(uint64))
+	}
+}
+
 // result notes whether an endpoint answered.
 func (t *tracker) result(e fleet.Endpoint, ok bool) {
 	t.mu.Lock()
