--- /dev/null
+++ b/internal/transport/pass/track_test.go
@@ -0,0 +1,57 @@
+package pass
+
+import (
+	"testing"
+	"time"
+
+	"chervilhead/internal/state/again"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
+)
+
+func TestTracker(t *testing.T) {
+	tr := newTracker(again.Limit{Ratio: 0.2, Slack: 10, Window: time.Second})
+	e := fleet.Endpoint{ID: "e", Service: "s", Zone: "z"}
+	req := pick.Request{Service: "s", Name: fleet.ParseName("m/x"), Parts: pick.Parts(fleet.ParseName("m/x"), "a:10,b:20,c:5"), Shared: 2}
+	states := []fleet.State{{Endpoint: e}}
+	one := func() pick.Candidate { return tr.candidates(states, 4, req)[0] }
+
+	first, end := tr.begin(e, req, 35)
+	if c := one(); c.InFlight != 1 || c.Reading != 1 || c.Unread != 35 || c.Cached != 0 {
+		t.Errorf("after the start: %+v", c)
+	}
+	first()
+	first()
+	tr.kept(e, req.Parts, req.Shared)
+	if c := one(); c.InFlight != 1 || c.Reading != 0 || c.Unread != 0 || c.Cached != 35 {
+		t.Errorf("after the first token: %+v", c)
+	}
+	if used := tr.used("e"); len(used) != 1 || used[0] != "m/x" {
+		t.Errorf("used %v", used)
+	}
+	if used := tr.used("e"); len(used) != 1 {
+		t.Errorf("an adapter in use isn't told again: %v", used)
+	}
+	end()
+	end()
+	if used := tr.used("e"); len(used) != 0 {
+		t.Errorf("an adapter without requests is told as used: %v", used)
+	}
+	if c := one(); c.InFlight != 0 {
+		t.Errorf("after the end: %+v", c)
+	}
+	if read := tr.read("e"); len(read) != 2 {
+		t.Errorf("read %v, want the two shared parts", read)
+	}
+
+	// Another gateway learns the shared parts; a new incarnation keeps nothing.
+	other := newTracker(again.Limit{Window: time.Second})
+	other.learn(e, []uint64{req.Parts[0].Chain, req.Parts[1].Chain})
+	if c := other.candidates(states, 4, req)[0]; c.Cached != 30 {
+		t.Errorf("the other gateway believes that %d tokens are kept, want 30", c.Cached)
+	}
+	states[0].Born = 7
+	if c := one(); c.Cached != 0 {
+		t.Errorf("a new incarnation keeps %d tokens", c.Cached)
+	}
+}
