--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -238,10 +238,7 @@
 	if c.State.Silent {
 		cost += silentCost
 	}
-	cost += time.Duration(c.Trust.Failing(now) * float64(failCost))
-	if c.State.Zone != req.Zone {
-		cost += otherDomain
-	}
+	cost += extras(req, c, now)
 	return Choice{ID: c.State.ID, Estimate: est, Fetch: !whole, Unread: unread, Backlog: backlog, Reading: time.Duration(backlog) * m.PerToken}, cost
 }
 
