Wait for a model whose holders are dead; loads keep the rate by the product's bucket

The planner counted loads with arithmetic of its own. Ruled out: the planner (dead engines' copies don't count there). Change: the wait ends with each change and the choice decides again; tests of desk, keepers and planner over loopback datagrams.

--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -363,23 +363,18 @@
 	}
 }
 
-// Await waits until an endpoint of a service holds a model.
+// Await waits until what endpoints hold changes, for some time at most, and tells the
+// planner that a request waits for a model.
 func (d *Desk) Await(ctx context.Context, service, model string) error {
+	d.mu.Lock()
+	changed := d.changed
+	d.mu.Unlock()
 	defer d.demand.wait(service, model)()
 	d.say()
-	for {
-		d.mu.Lock()
-		changed := d.changed
-		d.mu.Unlock()
-		for _, s := range d.States() {
-			if held, _ := fleet.Holds(s.Residents(), fleet.Name{Model: model}); held && s.Service == service && !s.Leaving {
-				return nil
-			}
-		}
-		if err := wait(ctx, changed, d.cfg.SayEvery); err != nil {
-			return fmt.Errorf("wait for model %s: %w", model, err)
-		}
+	if err := wait(ctx, changed, d.cfg.SayEvery); err != nil {
+		return fmt.Errorf("wait for model %s: %w", model, err)
 	}
+	return nil
 }
 
 // wait waits for a change, for some time at most; it fails only when the context ends.
--- /dev/null
+++ b/internal/transport/desk/desk_test.go
@@ -0,0 +1,299 @@
+package desk
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/lease"
+	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/transport/keep"
+)
+
+// rows is a table service in memory.
+type rows struct {
+	mu      sync.Mutex
+	rows    map[string]store.Row
+	version uint64
+}
+
+func (r *rows) Read(context.Context, string) (store.Snapshot, error) { return store.Snapshot{}, nil }
+
+func (r *rows) Get(_ context.Context, key string) (store.Row, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.rows[key]
+	row.Key = key
+	return row, nil
+}
+
+func (r *rows) Commit(_ context.Context, txn store.Txn) (uint64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range txn.Conds {
+		if r.rows[c.Key].Version != c.Version {
+			return 0, store.ErrConflict
+		}
+	}
+	r.version++
+	for _, w := range txn.Writes {
+		if w.Delete {
+			delete(r.rows, w.Key)
+			continue
+		}
+		r.rows[w.Key] = store.Row{Key: w.Key, Value: w.Value, Version: r.version}
+	}
+	return r.version, nil
+}
+
+// engine carries out orders at once and checks their sequence and memory.
+type engine struct {
+	mu     sync.Mutex
+	id     string
+	report keep.Report
+	loads  []time.Time
+	broken []string
+}
+
+func (e *engine) Report(context.Context) (keep.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := e.report
+	r.Models = slices.Clone(r.Models)
+	return r, nil
+}
+
+func (e *engine) Identify(context.Context) (string, error) { return e.id, nil }
+
+func (e *engine) Order(_ context.Context, o keep.Order) (keep.Verdict, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Sequence != e.report.Sequence {
+		return keep.Rejected, fmt.Errorf("sequence is %d", e.report.Sequence)
+	}
+	if o.Fence == 0 || o.Endpoint != e.id {
+		e.broken = append(e.broken, fmt.Sprintf("order with fence %d for endpoint %q", o.Fence, o.Endpoint))
+	}
+	e.report.Sequence++
+	i := slices.IndexFunc(e.report.Models, func(r fleet.Resident) bool { return r.Model == o.Name.Model })
+	switch {
+	case o.Name.Adapter != "" && !o.Unload && i >= 0:
+		e.report.Models[i].Adapters = append(slices.Clone(e.report.Models[i].Adapters), o.Name.Adapter)
+	case o.Unload && i >= 0:
+		e.report.Models = slices.Delete(slices.Clone(e.report.Models), i, i+1)
+	case !o.Unload && o.Name.Adapter == "":
+		e.report.Models = append(slices.Clone(e.report.Models), fleet.Resident{Model: o.Name.Model})
+		e.loads = append(e.loads, time.Now())
+		if len(e.report.Models) > 2 {
+			e.broken = append(e.broken, fmt.Sprintf("the engine holds %v", e.report.Models))
+		}
+	}
+	return keep.Accepted, nil
+}
+
+type source struct{ cfg fleet.Config }
+
+func (s source) Config(context.Context, uint64, time.Duration) (watch.ConfigChange, error) {
+	return watch.ConfigChange{Version: 5, Config: s.cfg, Changed: true}, nil
+}
+
+func (s source) Endpoints(context.Context, uint64) (watch.EndpointChange, error) {
+	return watch.EndpointChange{}, nil
+}
+
+// town is a desk with keepers on loopback addresses of their own.
+type town struct {
+	desk    *Desk
+	engines []*engine
+	view    atomic.Pointer[watch.View]
+	store   *rows
+	// inUse is set while the first endpoint's adapter x is in use.
+	inUse atomic.Bool
+}
+
+func startTown(t *testing.T, cfg fleet.Config, held ...[]string) *town {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := logrus.NewEntry(log)
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+
+	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := free.LocalAddr().(*net.UDPAddr).Port
+	_ = free.Close()
+	w := &town{store: &rows{rows: map[string]store.Row{}}}
+	view := &watch.View{HasConfig: true, Config: cfg, Endpoints: map[string]fleet.Endpoint{}}
+	for i, models := range held {
+		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		e := &engine{id: "e" + strconv.Itoa(i), report: keep.Report{Load: fleet.Load{Alive: true}}}
+		for _, m := range models {
+			e.report.Models = append(e.report.Models, fleet.Resident{Model: m})
+		}
+		w.engines = append(w.engines, e)
+		ep := fleet.Endpoint{ID: e.id, Service: "s", Address: ip + ":9", Zone: "z", Models: e.report.Models}
+		view.Endpoints[ep.ID] = ep
+		k, err := keep.New(keep.Settings{
+			Holder: "h" + e.id, Service: "s", Address: ep.Address, Listen: net.JoinHostPort(ip, strconv.Itoa(port)),
+			Poll: 10 * time.Millisecond, Spacing: 10 * time.Millisecond, Heartbeat: 50 * time.Millisecond,
+		}, e, source{cfg}, entry)
+		if err != nil {
+			t.Skipf("loopback addresses beside 127.0.0.1 are needed: %v", err)
+		}
+		wg.Go(func() { k.Run(ctx) })
+	}
+	w.view.Store(view)
+	const self = "127.0.0.1:0"
+	w.desk, err = New(Settings{Name: "g", Listen: self, KeeperPort: port, AskEvery: 50 * time.Millisecond, SayEvery: 50 * time.Millisecond},
+		w.view.Load, lease.New(w.store, lease.Settings{Key: "planner", Holder: self, Term: 4 * time.Second, Margin: 500 * time.Millisecond}), w.store, entry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.desk.Exchange(func(id string) ([]string, []uint64) {
+		if id == "e0" && w.inUse.Load() {
+			return []string{"a/x"}, nil
+		}
+		return nil, nil
+	}, func(fleet.Endpoint, []uint64) {})
+	wg.Go(func() { w.desk.Run(ctx) })
+	return w
+}
+
+// until waits for a condition.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 600 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain until %s", what)
+}
+
+func townConfig(models ...string) fleet.Config {
+	e := &fleet.Engine{Slots: 4, AdapterSlots: 1, WeightsMB: 150, LoadsPerSecond: 4, Models: map[string]fleet.Model{}}
+	for _, m := range models {
+		e.Models[m] = fleet.Model{Name: m, WeightsMB: 70, AdapterMB: 1, Load: time.Second}
+	}
+	return fleet.NewConfig(1, nil, []fleet.Service{{Name: "s", Engine: e}}, fleet.Limits{})
+}
+
+func (w *town) check(t *testing.T) {
+	t.Helper()
+	for _, e := range w.engines {
+		e.mu.Lock()
+		for _, b := range e.broken {
+			t.Errorf("%s: %s", e.id, b)
+		}
+		e.mu.Unlock()
+	}
+}
+
+func TestFetchAndReach(t *testing.T) {
+	w := startTown(t, townConfig("a", "b", "c"), []string{"a", "b"}, []string{"a"})
+	until(t, "all keepers have reported", func() bool {
+		n := 0
+		for _, s := range w.desk.States() {
+			if s.Reported && s.Load.Alive {
+				n++
+			}
+		}
+		return n == len(w.engines)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	e := w.view.Load().Endpoints["e0"]
+	if err := w.desk.Fetch(ctx, e, fleet.ParseName("a/x")); err != nil {
+		t.Fatal(err)
+	}
+	// The only place for an adapter is in use now.
+	w.inUse.Store(true)
+	time.Sleep(120 * time.Millisecond)
+	if err := w.desk.Fetch(ctx, e, fleet.ParseName("a/y")); err == nil {
+		t.Error("an adapter was fetched although the only place is in use")
+	}
+	// Model c has no copy; the planner gives it one without taking the last of another.
+	until(t, "every model has a copy", func() bool {
+		held := map[string]bool{}
+		for _, s := range w.desk.States() {
+			for _, r := range s.Residents() {
+				held[r.Model] = true
+			}
+		}
+		return held["a"] && held["b"] && held["c"]
+	})
+	w.check(t)
+}
+
+func TestLoadsKeepTheRate(t *testing.T) {
+	// Twelve models have no copy, and the weight store allows four loads a second.
+	names := []string{"a"}
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("m%02d", i))
+	}
+	w := startTown(t, townConfig(names...), []string{"a"}, nil, nil, nil, nil, nil, nil)
+	loads := func() []time.Time {
+		var out []time.Time
+		for _, e := range w.engines {
+			e.mu.Lock()
+			out = append(out, e.loads...)
+			e.mu.Unlock()
+		}
+		slices.SortFunc(out, time.Time.Compare)
+		return out
+	}
+	until(t, "all models are loaded", func() bool { return len(loads()) >= 12 })
+	list := loads()
+	for i := range list {
+		n := 0
+		for _, at := range list[i:] {
+			if at.Sub(list[i]) < time.Second {
+				n++
+			}
+		}
+		// The platform's bound in a second: the rate, a tenth more, and three.
+		if float64(n) > 4*1.1+3 {
+			t.Fatalf("%d loads began within a second; the weight store allows 4 a second", n)
+		}
+	}
+	w.check(t)
+}
+
+func TestDemandOutlivesThePlanner(t *testing.T) {
+	w := startTown(t, townConfig("a", "b"), []string{"a"})
+	until(t, "the gateway plans", func() bool {
+		w.desk.planner.mu.Lock()
+		defer w.desk.planner.mu.Unlock()
+		return w.desk.planner.term > 0
+	})
+	for range 200 {
+		w.desk.Asked("s", "a", 4000, 100)
+	}
+	w.desk.say()
+	w.desk.planner.remember(context.Background(), time.Now().Add(time.Hour))
+	w.desk.planner.mu.Lock()
+	w.desk.planner.wrote = time.Time{}
+	w.desk.planner.mu.Unlock()
+	w.desk.planner.remember(context.Background(), time.Now())
+	next := newPlanner(w.desk, w.desk.planner.lease, w.store)
+	next.recall(context.Background())
+	if d := next.total("s", time.Now()); d["a"].Work <= 0 {
+		t.Errorf("the next planner knows the demand %v", d)
+	}
+}
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -15,6 +15,7 @@
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/beat"
+	"chervilhead/internal/state/bucket"
 	"chervilhead/internal/state/copies"
 	"chervilhead/internal/state/fleet"
 )
@@ -49,8 +50,6 @@
 	// loadShare is the share of the weight store's rate that is used; the platform's
 	// bound is over sliding windows, and an order may start late.
 	loadShare = 0.9
-	// loadBurst is the number of loads that may begin at once.
-	loadBurst = 2
 )
 
 type gatewayDemand struct {
@@ -82,8 +81,8 @@
 	until   time.Time
 	holder  string
 	lastID  uint64
-	tokens  float64
-	tokenAt time.Time
+	// loads are the loads from the weight store that may begin, by service.
+	loads map[string]bucket.Bucket
 	number  uint64
 	// stored is the demand that the planner before wrote down.
 	stored   map[modelKey]beat.ModelDemand
@@ -167,7 +166,8 @@
 		p.desk.log.WithField("term", term).Info("this gateway plans")
 		p.term, p.since = term, time.Now()
 		p.moves = map[string]*underway{}
-		p.tokens, p.tokenAt = 0, time.Now()
+		// The planner before may have begun loads just now.
+		p.loads = map[string]bucket.Bucket{}
 	}
 	return err
 }
@@ -224,17 +224,16 @@
 		if svc.Engine == nil {
 			continue
 		}
-		rate := svc.Engine.LoadsPerSecond * loadShare
-		p.tokens = min(loadBurst, p.tokens+rate*now.Sub(p.tokenAt).Seconds())
-		p.tokenAt = now
+		loads := p.loads[name].WithRate(now, svc.Engine.LoadsPerSecond*loadShare)
 		demand := p.total(name, now)
 		for range maxMoves {
-			m, ok := copies.Next(svc.Engine, p.hosts(name, svc.Engine, reports, now), demand, p.tokens >= 1)
+			after, _, may := loads.Take(now, 1)
+			m, ok := copies.Next(svc.Engine, p.hosts(name, svc.Engine, reports, now), demand, may)
 			if !ok {
 				break
 			}
 			if m.Far {
-				p.tokens--
+				loads = after
 			}
 			p.lastID++
 			u := &underway{move: m, id: p.lastID, at: now}
@@ -245,6 +244,7 @@
 			}).Info("a model moves")
 			p.send(u, now)
 		}
+		p.loads[name] = loads
 	}
 }
 
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -25,8 +25,8 @@
 	States() []fleet.State
 	// Fetch asks the keeper of an endpoint for an adapter and waits until it is there.
 	Fetch(ctx context.Context, e fleet.Endpoint, name fleet.Name) error
-	// Await waits until some endpoint of a service holds a model. It tells the planner
-	// that a request waits.
+	// Await waits until what endpoints hold changes, for some time at most, and tells the
+	// planner that a request waits for a model.
 	Await(ctx context.Context, service, model string) error
 	// Asked notes demand: a request for a model whose prompt has so many tokens to read
 	// and whose answer so many tokens to make.
@@ -129,7 +129,6 @@
 	outcome string
 	status  int
 	first   time.Duration
-	awaited bool
 }
 
 // errTimeout ends requests at their deadline or at the route's timeout.
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -90,16 +90,22 @@
 func breakOff(_ *http.Request, _ string, c net.Conn) { _ = c.Close() }
 
 // staticFleet is endpoints whose keepers say nothing.
-type staticFleet struct{ states []fleet.State }
+type staticFleet struct {
+	states func() []fleet.State
+}
 
-func (f staticFleet) States() []fleet.State { return f.states }
+func (f staticFleet) States() []fleet.State { return f.states() }
 func (f staticFleet) Fetch(context.Context, fleet.Endpoint, fleet.Name) error {
 	return nil
 }
 
 func (f staticFleet) Await(ctx context.Context, _, _ string) error {
-	<-ctx.Done()
-	return context.Cause(ctx)
+	select {
+	case <-time.After(20 * time.Millisecond):
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
 }
 func (f staticFleet) Asked(string, string, int, int) {}
 func (f staticFleet) Crowded(string, string)         {}
@@ -107,7 +113,8 @@
 
 type gateway struct {
 	*httptest.Server
-	view atomic.Pointer[watch.View]
+	view   atomic.Pointer[watch.View]
+	states atomic.Pointer[[]fleet.State]
 }
 
 func startGateway(t *testing.T, kind fleet.Kind, resumable bool, endpoints ...*endpoint) *gateway {
@@ -134,12 +141,13 @@
 		states = append(states, fleet.State{Endpoint: ep})
 	}
 	g := &gateway{}
+	g.states.Store(&states)
 	g.view.Store(v)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h := New(Settings{
 		Names: testNames, Zone: "z", Random: func(int64) int64 { return 0 }, ConfigStale: time.Second, Again: again.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-	}, g.view.Load, staticFleet{states}, hop.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
+	}, g.view.Load, staticFleet{func() []fleet.State { return *g.states.Load() }}, hop.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
 	g.Server = httptest.NewServer(h)
 	t.Cleanup(g.Close)
 	return g
@@ -281,6 +289,30 @@
 	}
 }
 
+// TestAwaitedModel lets the only holder of a model die; the request waits for the next copy.
+func TestAwaitedModel(t *testing.T) {
+	e := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+		startStream(c, r)
+		chunk(c, event(1))
+		chunk(c, "")
+	})
+	g := startGateway(t, fleet.Stream, false, e)
+	v := *g.view.Load()
+	v.Config = fleet.NewConfig(2, []fleet.Route{{
+		Name: "r", Host: "test.example", Prefix: "/a/", Kind: fleet.Stream, Timeout: 2 * time.Second, MaxAttempts: 1, Targets: []fleet.Target{{Service: "s", Weight: 1}},
+	}}, []fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m", Load: 200 * time.Millisecond}}}}}, fleet.Limits{})
+	g.view.Store(&v)
+	alive := *g.states.Load()
+	dead := []fleet.State{alive[0]}
+	dead[0].Reported, dead[0].Load = true, fleet.Load{At: time.Now().Add(time.Hour), Models: alive[0].Models}
+	g.states.Store(&dead)
+	time.AfterFunc(150*time.Millisecond, func() { g.states.Store(&alive) })
+	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
+	if err != nil || resp.StatusCode != 200 || body != event(1) {
+		t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+	}
+}
+
 func TestRouteTimeout(t *testing.T) {
 	hang := func(*http.Request, string, net.Conn) { time.Sleep(3 * time.Second) }
 	g := startGateway(t, fleet.Once, false, startEndpoint(t, hang))
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -164,19 +164,16 @@
 	return h.fleet.Fetch(ctx, e, c.req.Name)
 }
 
-// await waits for a model that no endpoint holds, if its load can end in time.
+// await waits for a model that no usable endpoint holds, if its load can end in time.
 func (h *Handler) await(c *call, service fleet.Service) bool {
 	m := service.Engine.Models[c.req.Name.Model]
 	// Half of the time is left for the queue and the answer.
-	most := time.Until(c.limit) / 2
-	if c.awaited || m.Load > most {
+	most := c.limit.Sub(c.began) / 2
+	if m.Load > most || time.Since(c.began) > most {
 		h.fleet.Asked(service.Name, c.req.Name.Model, c.req.Tokens(), c.req.Output)
 		return false
 	}
-	c.awaited = true
-	ctx, cancel := context.WithTimeout(c.ctx, most)
-	defer cancel()
-	return h.fleet.Await(ctx, service.Name, c.req.Name.Model) == nil
+	return h.fleet.Await(c.ctx, service.Name, c.req.Name.Model) == nil
 }
 
 // attempt sends the request to one endpoint.
