--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -16,7 +16,6 @@
 
 // Ask is what a gateway wants of a keeper; it is also a subscription to its states.
 type Ask struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Gateway names the sender.
 	Gateway string
 	// Endpoint and Born name the incarnation of the endpoint that the gateway means.
@@ -36,7 +35,6 @@
 
 // Move tells a keeper to change the models of its endpoint.
 type Move struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Term orders planners; a keeper follows the highest that it has seen.
 	Term uint64
 	// ID is unique in a term and increases.
@@ -47,7 +45,6 @@
 
 // State is the state of an endpoint.
 type State struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Address is the endpoint's.
 	Address string
 	// Endpoint is the id that the endpoint itself has said, or empty.
@@ -83,7 +80,6 @@
 
 // Model is a resident model with its adapters.
 type Model struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	Version  int
 	Adapters []string
@@ -91,18 +87,16 @@
 
 // Demand is what a gateway sees of the demand for models.
 type Demand struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Gateway  string
-	Life     int64
-	Number   uint64
-	Models   []ModelDemand
+	Gateway string
+	Life    int64
+	Number  uint64
+	Models  []ModelDemand
 }
 
 // ModelDemand is the demand for one model at one gateway.
 type ModelDemand struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Service  string
-	Model    string
+	Service string
+	Model   string
 	// Work is the time in seconds that an endpoint needs for a second's requests.
 	Work float64
 	// Waiting counts requests that no endpoint could take for want of the model.
@@ -120,7 +114,10 @@
 func Encode(m Message) ([]byte, error) {
 	var b bytes.Buffer
 	b.WriteByte(m.kind())
-	if err := msgpack.NewEncoder(&b).Encode(m); err != nil {
+	enc := msgpack.NewEncoder(&b)
+	// Names of fields would be most of a datagram.
+	enc.UseArrayEncodedStructs(true)
+	if err := enc.Encode(m); err != nil {
 		return nil, fmt.Errorf("encode a message: %w", err)
 	}
 	if b.Len() > MaxBytes {
--- a/internal/protocol/hop/conn.go
+++ b/internal/protocol/hop/conn.go
@@ -28,8 +28,6 @@
 	keep time.Duration
 	// idle is when it became idle.
 	idle time.Time
-	// used is set once it has carried a request.
-	used bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/protocol/hop/do.go
+++ b/internal/protocol/hop/do.go
@@ -132,7 +132,7 @@
 			// A failed write shows in the read of the answer.
 		}()
 	}
-	resp, err := readHead(c.br, req)
+	resp, err := readHead(c.br, req) //nolint:bodyclose // Response.Close ends the body with its connection.
 	if err != nil {
 		return fail(Sent, err)
 	}
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -73,17 +73,17 @@
 	rows  store.Table
 	life  int64
 
-	mu      sync.Mutex
-	heard   map[string]gatewayDemand
-	moves   map[string]*underway
-	since   time.Time
-	term    uint64
-	until   time.Time
-	holder  string
-	lastID  uint64
+	mu     sync.Mutex
+	heard  map[string]gatewayDemand
+	moves  map[string]*underway
+	since  time.Time
+	term   uint64
+	until  time.Time
+	holder string
+	lastID uint64
 	// loads are the loads from the weight store that may begin, by service.
-	loads map[string]bucket.Bucket
-	number  uint64
+	loads  map[string]bucket.Bucket
+	number uint64
 	// stored is the demand that the planner before wrote down.
 	stored   map[modelKey]beat.ModelDemand
 	storedAt time.Time
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -153,7 +153,14 @@
 	return g
 }
 
-func (g *gateway) ask(t *testing.T, ctx context.Context, method, path string, header map[string]string, body string) (*http.Response, string, error) {
+// got is what a client got.
+type got struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (g *gateway) ask(ctx context.Context, t *testing.T, method, path string, header map[string]string, body string) (got, error) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, method, g.URL+path, strings.NewReader(body))
 	if err != nil {
@@ -169,24 +176,24 @@
 	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		return nil, "", err
+		return got{}, err
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
+	return got{resp.StatusCode, resp.Header, string(b)}, err
 }
 
 func TestUnchangedRequest(t *testing.T) {
 	e := startEndpoint(t, ok)
 	g := startGateway(t, fleet.Once, false, e)
-	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x%2Fy?q=1&q=%20", map[string]string{
+	a, err := g.ask(context.Background(), t, "POST", "/a/x%2Fy?q=1&q=%20", map[string]string{
 		"Test-Hold": "forged", "Test-Instance": "forged", "X-Other": "kept", "Connection": "X-Hop", "X-Hop": "dropped",
 	}, "the body")
-	if err != nil || resp.StatusCode != 200 || body != "fine" || resp.Header.Get("Test-Signature") != "s" {
-		t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+	if err != nil || a.status != 200 || a.body != "fine" || a.header.Get("Test-Signature") != "s" {
+		t.Fatalf("answer %+v, error %v", a, err)
 	}
-	if got := e.last.RequestURI; got != "/a/x%2Fy?q=1&q=%20" {
-		t.Errorf("the endpoint got target %q", got)
+	if target := e.last.RequestURI; target != "/a/x%2Fy?q=1&q=%20" {
+		t.Errorf("the endpoint got target %q", target)
 	}
 	if e.body != "the body" || e.last.Header.Get("X-Other") != "kept" || e.last.Host != "test.example" {
 		t.Errorf("the endpoint got body %q, header %v, host %q", e.body, e.last.Header, e.last.Host)
@@ -229,16 +236,16 @@
 		{"a success without signature is none", fleet.Once, unsigned, ok, 502, "", [2]int64{1, 0}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a, b := startEndpoint(t, tc.first), startEndpoint(t, tc.second)
-			g := startGateway(t, tc.kind, false, a, b)
-			resp, body, err := g.ask(t, context.Background(), "GET", "/a/x", nil, "")
-			if err != nil || resp.StatusCode != tc.status || tc.body != "" && body != tc.body {
-				t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+			one, two := startEndpoint(t, tc.first), startEndpoint(t, tc.second)
+			g := startGateway(t, tc.kind, false, one, two)
+			a, err := g.ask(context.Background(), t, "GET", "/a/x", nil, "")
+			if err != nil || a.status != tc.status || tc.body != "" && a.body != tc.body {
+				t.Fatalf("answer %+v, error %v", a, err)
 			}
-			if got := [2]int64{a.runs.Load(), b.runs.Load()}; got != tc.runs {
-				t.Errorf("arrivals %v, want %v", got, tc.runs)
+			if runs := [2]int64{one.runs.Load(), two.runs.Load()}; runs != tc.runs {
+				t.Errorf("arrivals %v, want %v", runs, tc.runs)
 			}
-			if tc.status == 503 && resp.Header.Get("Retry-After") == "" {
+			if tc.status == 503 && a.header.Get("Retry-After") == "" {
 				t.Error("a refusal doesn't say when to come back")
 			}
 		})
@@ -271,21 +278,21 @@
 		chunk(c, "")
 	}
 	g := startGateway(t, fleet.Stream, true, startEndpoint(t, breaking), startEndpoint(t, rest))
-	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
-	if want := event(1) + event(2) + event(3) + event(4); err != nil || resp.StatusCode != 200 || body != want {
-		t.Fatalf("body %q, error %v", body, err)
+	a, err := g.ask(context.Background(), t, "POST", "/a/x", nil, "p")
+	if want := event(1) + event(2) + event(3) + event(4); err != nil || a.status != 200 || a.body != want {
+		t.Fatalf("answer %+v, error %v", a, err)
 	}
 }
 
 func TestBrokenStreamIsNotWhole(t *testing.T) {
 	second := startEndpoint(t, ok)
 	g := startGateway(t, fleet.Stream, false, startEndpoint(t, breaking), second)
-	_, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
+	a, err := g.ask(context.Background(), t, "POST", "/a/x", nil, "p")
 	if err == nil {
 		t.Fatal("a broken stream looked whole")
 	}
-	if body != event(1)+event(2) || second.runs.Load() != 0 {
-		t.Errorf("body %q, arrivals at the second endpoint %d", body, second.runs.Load())
+	if a.body != event(1)+event(2) || second.runs.Load() != 0 {
+		t.Errorf("body %q, arrivals at the second endpoint %d", a.body, second.runs.Load())
 	}
 }
 
@@ -307,9 +314,9 @@
 	dead[0].Reported, dead[0].Load = true, fleet.Load{At: time.Now().Add(time.Hour), Models: alive[0].Models}
 	g.states.Store(&dead)
 	time.AfterFunc(150*time.Millisecond, func() { g.states.Store(&alive) })
-	resp, body, err := g.ask(t, context.Background(), "POST", "/a/x", nil, "p")
-	if err != nil || resp.StatusCode != 200 || body != event(1) {
-		t.Fatalf("answer %v, body %q, error %v", resp, body, err)
+	a, err := g.ask(context.Background(), t, "POST", "/a/x", nil, "p")
+	if err != nil || a.status != 200 || a.body != event(1) {
+		t.Fatalf("answer %+v, error %v", a, err)
 	}
 }
 
@@ -317,9 +324,9 @@
 	hang := func(*http.Request, string, net.Conn) { time.Sleep(3 * time.Second) }
 	g := startGateway(t, fleet.Once, false, startEndpoint(t, hang))
 	began := time.Now()
-	resp, _, err := g.ask(t, context.Background(), "GET", "/a/x", nil, "")
-	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
-		t.Fatalf("answer %v, error %v", resp, err)
+	a, err := g.ask(context.Background(), t, "GET", "/a/x", nil, "")
+	if err != nil || a.status != http.StatusGatewayTimeout {
+		t.Fatalf("answer %+v, error %v", a, err)
 	}
 	// The platform counts an answer as late half a second after the route's timeout.
 	if took := time.Since(began); took > 1100*time.Millisecond {
@@ -337,7 +344,7 @@
 	g := startGateway(t, fleet.Once, false, startEndpoint(t, wait))
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	if _, _, err := g.ask(t, ctx, "GET", "/a/x", nil, ""); err == nil {
+	if _, err := g.ask(ctx, t, "GET", "/a/x", nil, ""); err == nil {
 		t.Fatal("the client got an answer")
 	}
 	select {
@@ -350,11 +357,11 @@
 func TestRoutes(t *testing.T) {
 	g := startGateway(t, fleet.Once, false, startEndpoint(t, ok))
 	status := func(path string) int {
-		resp, _, err := g.ask(t, context.Background(), "GET", path, nil, "")
+		a, err := g.ask(context.Background(), t, "GET", path, nil, "")
 		if err != nil {
 			t.Fatal(err)
 		}
-		return resp.StatusCode
+		return a.status
 	}
 	if got := status("/none"); got != http.StatusNotFound {
 		t.Errorf("a path without a route got %d", got)
