Take back what nobody waits for; refuse requests that crash endpoints

The bound on requests that crash endpoints had no mechanism on this platform. Ruled out: late cancelling (the connections were closed within a millisecond, but in order, which leaves held-up bytes on their way). Change: abandoned connections are reset; keepers report every 0.2 s and a host is suspected after 0.65 s; marks of broken requests go round through keepers, and the third condemns. The homes of prompts use the product's rendezvous weight in place of a second one.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -88,7 +88,7 @@
 		Names: names, Zone: cfg.FailureDomain, ConfigStale: configStale,
 		Again: again.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, d, hop.NewPool(dialTimeout), pass.NewMetrics(reg), log)
-	d.Exchange(g.pass.Used, g.pass.Learn)
+	d.Exchange(g.pass.Used, g.pass.Learn, g.pass.LearnMark)
 
 	r := mux.NewRouter()
 	httpd.Pages(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsAt.IsZero() }, reg)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -16,7 +16,7 @@
 	// reportEvery is the pause between reports of an engine, which are free on its host.
 	reportEvery = 100 * time.Millisecond
 	// stateSpacing and stateEvery bound the pauses between states sent to gateways.
-	stateSpacing, stateEvery = 200 * time.Millisecond, 400 * time.Millisecond
+	stateSpacing, stateEvery = 200 * time.Millisecond, 200 * time.Millisecond
 	// EngineTimeout bounds a call of the engine on a keeper's own host.
 	EngineTimeout = 400 * time.Millisecond
 )
--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -27,6 +27,8 @@
 	Used []string
 	// Kept are the chains of shared prompt parts that the endpoint has read since the last ask.
 	Kept []uint64
+	// Marks tell of requests that may crash endpoints.
+	Marks []Mark
 	// Want are adapters that a request waits for.
 	Want []string
 	// Move is a planner's order, or nil.
@@ -67,6 +69,8 @@
 	InMemory, OnDisk []string
 	// Kept are the chains of prompt parts that gateways saw the endpoint read lately.
 	Kept []uint64
+	// Marks are those that gateways sent lately.
+	Marks []Mark
 	// InUse counts the adapters that requests use, Refused are adapters that were asked
 	// for lately and found no place.
 	InUse   int
@@ -78,6 +82,15 @@
 	Gateways int
 }
 
+// Mark is what is known of a request that may crash endpoints.
+type Mark struct {
+	Fingerprint string
+	Model       string
+	// Crashes are the ids of attempts that ended with a broken connection, Cleared those
+	// after which an equal request completed.
+	Crashes, Cleared []string
+}
+
 // Model is a resident model with its adapters.
 type Model struct {
 	Name     string
--- a/internal/protocol/hop/conn.go
+++ b/internal/protocol/hop/conn.go
@@ -34,6 +34,16 @@
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), keep: keepDefault}
 }
 
+// drop closes the connection at once. A reset takes back what a cut link or a frozen host
+// still holds up, so that the endpoint doesn't get a request that nobody waits for.
+func (c *conn) drop() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok {
+		// The close that follows tells of a connection that is gone.
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // fresh reports whether an idle connection can carry a request: it was not idle for too
 // long, and the endpoint has neither closed it nor sent bytes that nobody asked for.
 func (c *conn) fresh(now time.Time) bool {
--- a/internal/protocol/hop/do.go
+++ b/internal/protocol/hop/do.go
@@ -104,10 +104,10 @@
 		}
 		c = newConn(nc)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.drop)
 	fail := func(stage Stage, err error) (*Response, error) {
 		stop()
-		_ = c.Close()
+		c.drop()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -145,7 +145,7 @@
 			p.put(key, c, time.Now())
 			return
 		}
-		_ = c.Close()
+		c.drop()
 	}
 	return out, nil
 }
--- /dev/null
+++ b/internal/protocol/hop/hop_test.go
@@ -0,0 +1,193 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// serve plays an endpoint; handle gets each request and its connection, with the number
+// of the connection.
+func serve(t *testing.T, handle func(r *http.Request, c net.Conn, n int64) bool) (addr string, conns *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	conns = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := conns.Add(1)
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil || !handle(r, c, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func answer(c net.Conn, id, header, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Request: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, header, len(body), body)
+}
+
+func request(id, body string) *Request {
+	return &Request{
+		Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Test-Request": {id}}, Body: []byte(body),
+		IDHeader: "Test-Request", ID: id,
+	}
+}
+
+func do(t *testing.T, p *Pool, addr, id, body string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, "k", addr, request(id, body))
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close()
+	b, err := io.ReadAll(resp)
+	return string(b), err
+}
+
+func TestReuse(t *testing.T) {
+	addr, conns := serve(t, func(r *http.Request, c net.Conn, _ int64) bool {
+		id := r.Header.Get("Test-Request")
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return false
+		}
+		answer(c, id, "", id+string(b))
+		return true
+	})
+	p := NewPool(time.Second)
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		if got, err := do(t, p, addr, id, "-body"); err != nil || got != id+"-body" {
+			t.Fatalf("answer %q, error %v", got, err)
+		}
+	}
+	if conns.Load() != 1 {
+		t.Errorf("%d connections for five requests in a row", conns.Load())
+	}
+	p.Sweep(time.Now(), func(string) bool { return false })
+	if p.Idle("k", time.Now()) {
+		t.Error("a connection of an endpoint that is gone is kept")
+	}
+}
+
+// TestExtraAnswer sends a second answer after the whole one; the next request mustn't get it.
+func TestExtraAnswer(t *testing.T) {
+	addr, _ := serve(t, func(r *http.Request, c net.Conn, _ int64) bool {
+		id := r.Header.Get("Test-Request")
+		answer(c, id, "", "right")
+		answer(c, id, "", "extra")
+		return true
+	})
+	p := NewPool(time.Second)
+	for i := range 20 {
+		got, err := do(t, p, addr, fmt.Sprint(i), "")
+		if err == nil && got != "right" {
+			t.Fatalf("request %d got %q", i, got)
+		}
+		if i%2 == 0 {
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+func TestKeepAliveAndClose(t *testing.T) {
+	for header, kept := range map[string]bool{"Keep-Alive: timeout=5\r\n": true, "Keep-Alive: timeout=0\r\n": false, "Connection: close\r\n": false} {
+		addr, _ := serve(t, func(r *http.Request, c net.Conn, _ int64) bool {
+			answer(c, r.Header.Get("Test-Request"), header, "x")
+			return true
+		})
+		p := NewPool(time.Second)
+		if _, err := do(t, p, addr, "a", ""); err != nil {
+			t.Fatal(err)
+		}
+		if got := p.Idle("k", time.Now()); got != kept {
+			t.Errorf("%q: connection kept %v, want %v", strings.TrimSpace(header), got, kept)
+		}
+	}
+}
+
+// TestEarlyAnswer answers before the long body is read; the rest of the body must not be
+// taken for the next request.
+func TestEarlyAnswer(t *testing.T) {
+	addr, conns := serve(t, func(r *http.Request, c net.Conn, _ int64) bool {
+		answer(c, r.Header.Get("Test-Request"), "", "early")
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.Copy(io.Discard, r.Body)
+		return err == nil
+	})
+	p := NewPool(time.Second)
+	for i := range 3 {
+		if got, err := do(t, p, addr, fmt.Sprint(i), strings.Repeat("b", 8<<20)); err != nil || got != "early" {
+			t.Fatalf("answer %q, error %v", got, err)
+		}
+	}
+	if conns.Load() != 3 {
+		t.Errorf("%d connections; one with an unsent body was used again", conns.Load())
+	}
+}
+
+// TestDropResets checks that a request that nobody waits for is taken back by a reset.
+func TestDropResets(t *testing.T) {
+	ended := make(chan error, 1)
+	addr, _ := serve(t, func(_ *http.Request, c net.Conn, _ int64) bool {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := NewPool(time.Second).Do(ctx, "k", addr, request("a", ""))
+	var he *Error
+	if !errors.As(err, &he) || he.Stage != Sent {
+		t.Fatalf("error %v, want one that says that the request was sent", err)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the endpoint saw %v, want a reset", err)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("the connection stayed open")
+	}
+}
+
+func TestUnsent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	_, err = NewPool(time.Second).Do(context.Background(), "k", addr, request("a", ""))
+	var he *Error
+	if !errors.As(err, &he) || he.Stage != Unsent {
+		t.Fatalf("error %v, want one that says that nothing was sent", err)
+	}
+}
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -1,11 +1,11 @@
 package pick
 
 import (
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/trust"
 )
 
@@ -268,10 +268,10 @@
 	if req.Name.Model == "" {
 		return ""
 	}
-	key := xxhash.Sum64String(req.Name.String())
+	key := req.Name.String()
 	// An adapter has one home whatever the prompt, because it takes one of few places.
 	if req.Name.Adapter == "" && req.Shared > 0 && req.Shared <= len(req.Parts) {
-		key = req.Parts[req.Shared-1].Chain
+		key = strconv.FormatUint(req.Parts[req.Shared-1].Chain, 36)
 	}
 	var best string
 	var most uint64
@@ -282,18 +282,9 @@
 		if model, _ := fleet.Holds(c.State.Residents(), req.Name); !model {
 			continue
 		}
-		if h := mix(xxhash.Sum64String(c.State.ID) ^ key); best == "" || h > most {
+		if h := poison.Weight(key, c.State.ID); best == "" || h > most {
 			best, most = c.State.ID, h
 		}
 	}
 	return best
 }
-
-// mix spreads a hash over all its bits (the finalizer of splitmix64).
-func mix(h uint64) uint64 {
-	h ^= h >> 30
-	h *= 0xbf58476d1ce4e5b9
-	h ^= h >> 27
-	h *= 0x94d049bb133111eb
-	return h ^ h>>31
-}
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -18,6 +18,7 @@
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/beat"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/transport/pass"
 )
 
@@ -39,9 +40,9 @@
 	// lately is the age up to which a report goes before the registration, which may be
 	// a heartbeat and a poll old.
 	lately = 1800 * time.Millisecond
-	// quietAfter is the age of a keeper's newest report from which its host is suspected, three
-	// heartbeats; quietFor is how long, as a keeper may be gone while its endpoint lives.
-	quietAfter, quietFor = 1250 * time.Millisecond, 20 * time.Second
+	// quietAfter is the age of a keeper's newest report from which its host is suspected,
+	// more than two heartbeats and a lost datagram's wait; quietFor is how long, as a keeper may be gone while its endpoint lives.
+	quietAfter, quietFor = 650 * time.Millisecond, 20 * time.Second
 	// defaultGateways is the number of gateways before a keeper has told one.
 	defaultGateways = 8
 )
@@ -72,8 +73,10 @@
 	// gateways saw there.
 	used  func(id string) (adapters []string, read []uint64)
 	learn func(e fleet.Endpoint, chains []uint64)
-	conn  net.PacketConn
-	log   *logrus.Entry
+	// marked takes what other gateways know of requests that may crash endpoints.
+	marked func(m poison.Mark)
+	conn   net.PacketConn
+	log    *logrus.Entry
 
 	mu sync.Mutex
 	// reports are by address of the endpoint.
@@ -96,7 +99,7 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	d := &Desk{
-		cfg: cfg, view: view, used: func(string) ([]string, []uint64) { return nil, nil }, learn: func(fleet.Endpoint, []uint64) {}, conn: conn, log: log,
+		cfg: cfg, view: view, used: func(string) ([]string, []uint64) { return nil, nil }, learn: func(fleet.Endpoint, []uint64) {}, marked: func(poison.Mark) {}, conn: conn, log: log,
 		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemand(),
 	}
 	d.planner = newPlanner(d, lease, rows)
@@ -106,9 +109,10 @@
 }
 
 // Exchange sets where the desk learns what was used on an endpoint since it asked last,
-// and what takes the prompts that other gateways saw there.
-func (d *Desk) Exchange(used func(id string) ([]string, []uint64), learn func(fleet.Endpoint, []uint64)) {
-	d.used, d.learn = used, learn
+// and what takes the prompts that other gateways saw there and the requests that they
+// suspect. It must be called before Run.
+func (d *Desk) Exchange(used func(id string) ([]string, []uint64), learn func(fleet.Endpoint, []uint64), marked func(poison.Mark)) {
+	d.used, d.learn, d.marked = used, learn, marked
 }
 
 // Run serves the desk until the context ends.
@@ -317,6 +321,9 @@
 	r.life, r.number, r.load, r.endpoint, r.gateways, r.refused = m.Life, m.Number, load, m.Endpoint, m.Gateways, m.Refused
 	r.doing = order{m.Term, m.Move, m.Done}
 	d.rebuild(holdings)
+	for _, mark := range m.Marks {
+		d.marked(fromWire(mark))
+	}
 	if len(m.Kept) > 0 {
 		for _, s := range *d.snap.Load() {
 			if s.Address == m.Address {
--- a/internal/transport/desk/desk_test.go
+++ b/internal/transport/desk/desk_test.go
@@ -18,6 +18,7 @@
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/transport/keep"
 )
 
@@ -118,6 +119,8 @@
 	engines []*engine
 	view    atomic.Pointer[watch.View]
 	store   *rows
+	// marks are those that came back.
+	marks chan poison.Mark
 	// inUse is set while the first endpoint's adapter x is in use.
 	inUse atomic.Bool
 }
@@ -137,7 +140,7 @@
 	}
 	port := free.LocalAddr().(*net.UDPAddr).Port
 	_ = free.Close()
-	w := &town{store: &rows{rows: map[string]store.Row{}}}
+	w := &town{marks: make(chan poison.Mark, 64), store: &rows{rows: map[string]store.Row{}}}
 	view := &watch.View{HasConfig: true, Config: cfg, Endpoints: map[string]fleet.Endpoint{}}
 	for i, models := range held {
 		ip := fmt.Sprintf("127.0.0.%d", 11+i)
@@ -169,7 +172,7 @@
 			return []string{"a/x"}, nil
 		}
 		return nil, nil
-	}, func(fleet.Endpoint, []uint64) {})
+	}, func(fleet.Endpoint, []uint64) {}, func(m poison.Mark) { w.marks <- m })
 	wg.Go(func() { w.desk.Run(ctx) })
 	return w
 }
@@ -275,6 +278,27 @@
 	w.check(t)
 }
 
+func TestMarksComeRound(t *testing.T) {
+	w := startTown(t, townConfig("a"), []string{"a"}, []string{"a"})
+	until(t, "a keeper has reported", func() bool {
+		for _, s := range w.desk.States() {
+			if s.Reported {
+				return true
+			}
+		}
+		return false
+	})
+	w.desk.Suspect(poison.Mark{Fingerprint: "f", Model: "a", Crashes: []poison.Crash{{ID: "r1", Level: poison.Shared}, {ID: "r2", Level: poison.Cleared}}})
+	select {
+	case m := <-w.marks:
+		if m.Fingerprint != "f" || len(m.Crashes) != 2 || m.Crashes[0].Level != poison.Shared || m.Crashes[1].Level != poison.Cleared {
+			t.Errorf("the mark came back as %+v", m)
+		}
+	case <-time.After(3 * time.Second):
+		t.Fatal("no keeper passed the mark on")
+	}
+}
+
 func TestDemandOutlivesThePlanner(t *testing.T) {
 	w := startTown(t, townConfig("a", "b"), []string{"a"})
 	until(t, "the gateway plans", func() bool {
--- a/internal/transport/keep/asks.go
+++ b/internal/transport/keep/asks.go
@@ -72,7 +72,13 @@
 	for _, c := range a.Kept {
 		k.kept[c] = now
 	}
-	urgent := false
+	for _, m := range a.Marks {
+		if _, known := k.marks[m.Fingerprint]; known || len(k.marks) < maxMarks {
+			k.marks[m.Fingerprint] = marked{mark: m, at: now}
+			k.sentAt = time.Time{}
+		}
+	}
+	urgent := len(a.Marks) > 0
 	for _, w := range a.Want {
 		n := fleet.ParseName(w)
 		if _, whole := fleet.Holds(k.report.Models, n); whole {
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -6,6 +6,7 @@
 	"net"
 	"reflect"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -46,10 +47,18 @@
 	// keptFor is how long gateways are told of a part of a prompt: three states, as one may
 	// be lost; maxKept bounds the parts of one state.
 	keptFor, maxKept = 1300 * time.Millisecond, 128
+	// markFor is how long gateways are told of a mark, maxMarks bounds those of one state.
+	markFor, maxMarks = 2 * time.Second, 16
 	// configRetry is the pause between questions for the configuration.
 	configRetry = 400 * time.Millisecond
 )
 
+// marked is a mark and when it came.
+type marked struct {
+	mark beat.Mark
+	at   time.Time
+}
+
 type subscriber struct {
 	name string
 	seen time.Time
@@ -85,7 +94,9 @@
 	done     bool
 	refused  map[fleet.Name]time.Time
 	// kept are the chains of prompt parts that gateways saw the engine read.
-	kept    map[uint64]time.Time
+	kept map[uint64]time.Time
+	// marks are what gateways sent lately of requests that may crash endpoints.
+	marks   map[string]marked
 	taken   []taken
 	restore []string
 	// bornAt is when this keeper saw the engine start.
@@ -106,7 +117,7 @@
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), specWake: make(chan struct{}, 1), life: time.Now().UnixNano(),
 		subs: map[string]subscriber{}, addrs: map[string]net.Addr{},
-		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{}, refused: map[fleet.Name]time.Time{}, kept: map[uint64]time.Time{},
+		wants: map[fleet.Name]time.Time{}, used: map[fleet.Name]time.Time{}, refused: map[fleet.Name]time.Time{}, kept: map[uint64]time.Time{}, marks: map[string]marked{},
 	}, nil
 }
 
@@ -235,6 +246,14 @@
 		}
 	}
 	slices.Sort(st.Kept)
+	for f, m := range k.marks {
+		if now.Sub(m.at) > markFor {
+			delete(k.marks, f)
+			continue
+		}
+		st.Marks = append(st.Marks, m.mark)
+	}
+	slices.SortFunc(st.Marks, func(a, b beat.Mark) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
 	for _, n := range adapters(k.report) {
 		if now.Sub(k.used[n]) < inUse {
 			st.InUse++
--- a/internal/transport/pass/answer.go
+++ b/internal/transport/pass/answer.go
@@ -35,7 +35,7 @@
 		if c.ctx.Err() == nil {
 			h.track.result(e, false)
 		}
-		return another{ran: true, reason: "answer_broken"}
+		return another{ran: true, broken: c.ctx.Err() == nil, reason: "answer_broken"}
 	}
 	a := &answer{status: resp.Status, header: forward(resp.Header), body: b.Bytes()}
 	if resp.Status >= http.StatusInternalServerError {
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -17,6 +17,7 @@
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/jitter"
 	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/poison"
 )
 
 // Fleet is what the handler sees of the endpoints beyond the store's view.
@@ -33,6 +34,8 @@
 	Asked(service, model string, read, made int)
 	// Crowded notes that a request for a model found no place for its adapter.
 	Crowded(service, model string)
+	// Suspect tells the other gateways of a request that may crash endpoints.
+	Suspect(m poison.Mark)
 	// Gateways returns the number of gateways, as far as it is known.
 	Gateways() int
 }
@@ -56,8 +59,10 @@
 	fleet Fleet
 	pool  *hop.Pool
 	track *tracker
-	log   *logrus.Entry
-	met   *Metrics
+	// suspects are requests that may crash endpoints.
+	suspects *suspects
+	log      *logrus.Entry
+	met      *Metrics
 
 	draining atomic.Bool
 	bodies   atomic.Int64
@@ -65,7 +70,7 @@
 
 // New returns a handler.
 func New(cfg Settings, view func() *watch.View, f Fleet, pool *hop.Pool, met *Metrics, log *logrus.Entry) *Handler {
-	return &Handler{cfg: cfg, view: view, fleet: f, pool: pool, track: newTracker(cfg.Again), log: log, met: met}
+	return &Handler{cfg: cfg, view: view, fleet: f, pool: pool, track: newTracker(cfg.Again), suspects: newSuspects(), log: log, met: met}
 }
 
 // draw returns a number in [0, 1).
@@ -123,6 +128,8 @@
 	reportAge time.Duration
 	config    uint64
 	lastID    string
+	// print identifies equal requests once it was asked for.
+	print string
 	// full are endpoints that had no place for the adapter.
 	full []string
 	// outcome says in the log how the request ended.
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -21,6 +21,7 @@
 	"chervilhead/internal/protocol/hop"
 	"chervilhead/internal/state/again"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 )
 
 var testNames = Headers{
@@ -110,6 +111,7 @@
 func (f staticFleet) Asked(string, string, int, int) {}
 func (f staticFleet) Crowded(string, string)         {}
 func (f staticFleet) Gateways() int                  { return 1 }
+func (f staticFleet) Suspect(poison.Mark)            {}
 
 type gateway struct {
 	*httptest.Server
@@ -320,6 +322,35 @@
 	}
 }
 
+// TestCrashingRequest sends a request again that breaks each connection; no more endpoints
+// than the platform allows get it, and other requests are served.
+func TestCrashingRequest(t *testing.T) {
+	crash := func(r *http.Request, body string, c net.Conn) {
+		if body == "boom" {
+			_ = c.Close()
+			return
+		}
+		ok(r, body, c)
+	}
+	e := startEndpoint(t, crash)
+	g := startGateway(t, fleet.Once, false, e)
+	for i := range 8 {
+		a, err := g.ask(context.Background(), t, "POST", "/a/x", map[string]string{"Test-Request": fmt.Sprint("id-", i)}, "boom")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := map[bool]int{true: 502, false: 503}[i < 3]; a.status != want {
+			t.Errorf("attempt %d: status %d, want %d", i, a.status, want)
+		}
+	}
+	if n := e.runs.Load(); n != 3 {
+		t.Errorf("the request reached endpoints %d times; three may be lost", n)
+	}
+	if a, err := g.ask(context.Background(), t, "POST", "/a/x", nil, "fine"); err != nil || a.status != 200 {
+		t.Errorf("another request got %+v, error %v", a, err)
+	}
+}
+
 func TestRouteTimeout(t *testing.T) {
 	hang := func(*http.Request, string, net.Conn) { time.Sleep(3 * time.Second) }
 	g := startGateway(t, fleet.Once, false, startEndpoint(t, hang))
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -22,7 +22,9 @@
 	// another means that the request may go to another endpoint.
 	another struct {
 		// ran is set when the endpoint may have run the request.
-		ran    bool
+		ran bool
+		// broken is set when the connection broke while the endpoint had the request.
+		broken bool
 		reason string
 		// answer is the endpoint's failure, for the client if nothing else comes.
 		answer *answer
@@ -51,6 +53,10 @@
 		}
 	}
 	var last another
+	if h.suspects.condemned(c, time.Now()) {
+		h.refuse(c, "crashes_endpoints", time.Until(c.limit)/comeBackPart)
+		return
+	}
 	for c.tries < maxTries {
 		if time.Until(c.limit) < minLeft || c.ctx.Err() != nil {
 			break
@@ -102,11 +108,15 @@
 		c.tries++
 		switch v := h.attempt(c, e).(type) {
 		case finished:
+			h.cleared(c, time.Now())
 			return
 		case another:
 			c.req.Tried = append(c.req.Tried, e.ID)
 			last = v
 			h.noteAttempt(c, v)
+			if v.broken {
+				h.broke(c, time.Now())
+			}
 			if v.ran {
 				c.runs++
 				if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts || c.begun && c.lastID == "" {
@@ -246,5 +256,5 @@
 			h.track.result(e, false)
 		}
 	}
-	return another{ran: he.Stage != hop.Unsent, reason: he.Error()}
+	return another{ran: he.Stage != hop.Unsent, broken: he.Stage != hop.Unsent && c.ctx.Err() == nil, reason: he.Error()}
 }
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -59,7 +59,7 @@
 			if c.ctx.Err() == nil {
 				h.track.result(e, false)
 			}
-			return another{ran: true, reason: "stream_broken"}
+			return another{ran: true, broken: c.ctx.Err() == nil, reason: "stream_broken"}
 		}
 	}
 }
