--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -62,6 +62,7 @@
 	srv    *http.Server
 	pages  *httpd.Server
 	pass   *pass.Handler
+	desk   *desk.Desk
 	ready  atomic.Bool
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
@@ -88,6 +89,7 @@
 		Names: names, Zone: cfg.FailureDomain, ConfigStale: configStale,
 		Again: again.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, d, hop.NewPool(dialTimeout), pass.NewMetrics(reg), log)
+	g.desk = d
 	d.Exchange(g.pass.Used, g.pass.Learn, g.pass.LearnMark)
 
 	r := mux.NewRouter()
@@ -144,6 +146,7 @@
 	began := time.Now()
 	g.ready.Store(false)
 	g.pass.Drain()
+	g.desk.Resign()
 	g.log.Info("gateway stopping")
 	time.Sleep(g.cfg.Leave.Unready)
 	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Leave.Grace-exitMargin-time.Since(began))
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -137,6 +137,10 @@
 	wg.Wait()
 }
 
+// Resign gives up planning for good, so that a gateway that stops neither keeps other
+// gateways waiting for its lease nor takes it.
+func (d *Desk) Resign() { d.planner.resign.Do(func() { close(d.planner.resigned) }) }
+
 // States returns all endpoints with the newest reports of their keepers.
 func (d *Desk) States() []fleet.State { return *d.snap.Load() }
 
--- a/internal/transport/desk/desk_test.go
+++ b/internal/transport/desk/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -299,6 +300,32 @@
 	}
 }
 
+// TestStoppingGatewayResigns checks that a gateway that stops gives the lease up at once
+// and does not take it again.
+func TestStoppingGatewayResigns(t *testing.T) {
+	w := startTown(t, townConfig("a"), []string{"a"})
+	holder := func() string {
+		row, err := w.store.Get(context.Background(), "planner")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var r lease.Row
+		if row.Version != 0 {
+			if err := json.Unmarshal(row.Value, &r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return r.Holder
+	}
+	until(t, "the gateway plans", func() bool { return holder() != "" })
+	w.desk.Resign()
+	until(t, "the lease is given up", func() bool { return holder() == "" })
+	time.Sleep(2 * leaseEvery)
+	if h := holder(); h != "" {
+		t.Errorf("the lease is held by %q after the gateway resigned", h)
+	}
+}
+
 func TestDemandOutlivesThePlanner(t *testing.T) {
 	w := startTown(t, townConfig("a", "b"), []string{"a"})
 	until(t, "the gateway plans", func() bool {
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -89,10 +89,13 @@
 	storedAt time.Time
 	// wrote is when the demand was last written down.
 	wrote time.Time
+	// resigned ends the planner's hold on the lease.
+	resigned chan struct{}
+	resign   sync.Once
 }
 
 func newPlanner(d *Desk, l Lease, rows store.Table) *planner {
-	return &planner{desk: d, lease: l, rows: rows, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}}
+	return &planner{desk: d, lease: l, rows: rows, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}, resigned: make(chan struct{})}
 }
 
 func (p *planner) run(ctx context.Context) {
@@ -123,8 +126,17 @@
 	}
 }
 
-// hold keeps the lease or waits for it.
+// hold keeps the lease or waits for it, until the context ends or the gateway resigns.
 func (p *planner) hold(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-p.resigned:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	for ctx.Err() == nil {
 		err := p.refresh(ctx)
 		if err == nil {
@@ -142,6 +154,9 @@
 	}
 	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
+	p.mu.Lock()
+	p.until = time.Time{}
+	p.mu.Unlock()
 	if err := p.lease.Release(release); err != nil {
 		p.desk.log.WithError(err).Info("the planner's lease was not given up; another gateway waits for its term")
 	}
