keep, pick: order no adapter while an engine loads a model

Cause: an engine that carries out a model's load rejects every other order. Change: while its engine is busy, or an accepted load hasn't ended, a keeper says at once that the adapter can't be loaded; a rejected order isn't repeated at the next ask. Gateways count half of a load's time at such an engine, unless it holds the adapter. The new cases of TestNext fail without the change of the keeper; TestAdapterAvoidsLoad needs the new estimate to build.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -117,6 +117,9 @@
 	quietStep, pieceStep = 7 * time.Millisecond, 45 * time.Millisecond
 	// noPlace is the wait where all adapters are in use: a part of a typical run.
 	noPlace = 400 * time.Millisecond
+	// loadingWait is the wait for an adapter while the engine loads a model and takes no
+	// order: half of a load of 3 s.
+	loadingWait = 1500 * time.Millisecond
 	// silentCost keeps requests off a host that may be frozen where there is another, and
 	// silentReading bounds those that wait there for a first token.
 	silentCost, silentReading = 500 * time.Millisecond, 1
@@ -222,6 +225,8 @@
 		est += fetchAdapter
 		orders = 1
 		switch {
+		case c.State.Reported && (c.State.Load.Busy || len(c.State.Load.Loading) > 0):
+			est += loadingWait
 		case c.State.Reported && c.State.Load.InUse >= adapterSlots:
 			est += noPlace
 		case adapters(c.State) >= adapterSlots:
--- a/internal/state/pick/pick_test.go
+++ b/internal/state/pick/pick_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// TestAdapterAvoidsLoad plays a request for an adapter that nobody holds while an engine
+// loads a model and rejects other orders.
+func TestAdapterAvoidsLoad(t *testing.T) {
+	home := Home(request("m/x"), []Candidate{candidate("a", nil), candidate("b", nil)})
+	other := map[string]string{"a": "b", "b": "a"}[home]
+	for _, load := range []fleet.Load{{Busy: true}, {Loading: []string{"n"}}} {
+		load.At, load.Alive, load.Models = start, true, []fleet.Resident{{Model: "m"}}
+		loads := candidate(home, func(c *Candidate) { c.State.Load, c.State.Reported = load, true })
+		if ch, ok := Best(request("m/x"), []Candidate{loads, candidate(other, nil)}, model, start, 8, none); !ok || ch.ID != other {
+			t.Errorf("chose %+v, want %q, which takes orders", ch, other)
+		}
+		if ch, ok := Best(request("m/x"), []Candidate{loads}, model, start, 8, none); !ok || ch.Estimate < loadingWait {
+			t.Errorf("estimated %v (%v) at an engine that takes no orders now", ch.Estimate, ok)
+		}
+		held := candidate(home, func(c *Candidate) {
+			c.State.Load, c.State.Reported = load, true
+			c.State.Load.Models = []fleet.Resident{{Model: "m", Adapters: []string{"x"}}}
+		})
+		if ch, ok := Best(request("m/x"), []Candidate{held, candidate(other, nil)}, model, start, 8, none); !ok || ch.ID != home {
+			t.Errorf("chose %+v, want %q, which holds the adapter and serves it during the load", ch, home)
+		}
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	if ch, ok := Best(request("other"), []Candidate{candidate("a", nil)}, model, start, 8, none); ok {
 		t.Errorf("chose %+v for a model that nobody holds", ch)
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -355,9 +355,15 @@
 			k.doubts = append(k.doubts, doubt{name: o.Name, sequence: o.Sequence, at: now})
 		}
 	case Rejected:
-		if o.Name.Adapter != "" && o.Unload {
+		switch {
+		case o.Name.Adapter == "":
+		case o.Unload:
 			// It is in use; the next one makes way.
 			k.used[o.Name] = now
+		default:
+			// Each ask would bring the same order again.
+			k.refused[o.Name] = now
+			delete(k.wants, o.Name)
 		}
 		return false
 	case Accepted, Holds:
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -57,6 +57,13 @@
 	return false
 }
 
+// loading reports whether an accepted load of a model hasn't ended.
+func (s situation) loading() bool {
+	return slices.ContainsFunc(s.taken, func(t taken) bool {
+		return !t.unload && t.name.Adapter == "" && !t.ended(s.report, s.now)
+	})
+}
+
 // unloading reports whether the engine has accepted to unload a name.
 func (s situation) unloading(n fleet.Name) bool {
 	for _, t := range s.taken {
@@ -159,6 +166,10 @@
 	if s.move != nil && slices.Contains(s.move.Drop, want.Model) {
 		return unfit{want, "model_leaves"}, true
 	}
+	if s.report.Busy || s.loading() {
+		// The engine rejects every order until the one under way has ended.
+		return unfit{want, "engine_busy"}, true
+	}
 	held := adapters(s.report)
 	if len(held)+s.doubtful(true) < s.spec.AdapterSlots && s.memory()+spec.AdapterMB <= s.spec.WeightsMB {
 		return order{name: want}, true
--- a/internal/transport/keep/next_test.go
+++ b/internal/transport/keep/next_test.go
@@ -106,6 +106,21 @@
 			},
 			load("d"),
 		},
+		{
+			"no adapter is ordered while the engine carries out a model's load",
+			situation{report: func() Report { r := holding(1, "a"); r.Busy = true; return r }(), wants: names("a/x")},
+			unfit{names("a/x")[0], "engine_busy"},
+		},
+		{
+			"nor before its report says so",
+			situation{report: holding(1, "a"), wants: names("a/x"), taken: []taken{{name: names("b")[0], at: ago(50 * time.Millisecond)}}},
+			unfit{names("a/x")[0], "engine_busy"},
+		},
+		{
+			"an unload that waits for its runs stops no adapter",
+			situation{report: holding(1, "a", "b"), wants: names("a/x"), taken: []taken{{name: names("b")[0], unload: true, at: ago(time.Second)}}},
+			load("a/x"),
+		},
 		{"a busy engine gets no order", situation{report: func() Report { r := holding(1, "a"); r.Busy = true; return r }(), move: &beat.Move{Load: "d"}}, idle{}},
 		{"a leaving engine gets no order", situation{report: func() Report { r := holding(1, "a"); r.Leaving = true; return r }(), wants: names("a/x")}, idle{}},
 		{
