watch, desk: gateways rely on what the planner's gateway read in the store

Cause: each gateway asked the store for the endpoints every 0.6 s, for the configuration every 2.2 s and for the lease every 1.6 s, though nothing had changed most of the time. Ruled out: polling less often (the bound for leaving endpoints is 2 s), waiting in the feed (heartbeats end each wait at once), passing rows on (bytes between failure domains are priced too, and a lost datagram would need a recovery). Change: after each reading the planner's gateway tells the gateways whose demand it hears the store's version, a digest of the endpoints and the age of the configuration. One that has the same digest counts that as an answer of the store and reads itself after 8 s at most; one that has another reads at once. A newer configuration, or silence, ends a long question. A gateway whose keepers don't all report reads as before. The lease is read only when the planner falls silent; its holder renews it with one call; a planner that stops says so.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -87,6 +87,14 @@
 // lease may be in force; after an outage the lease held stays in force until its term ends.
 func (m *Manager) Refresh(ctx context.Context, info json.RawMessage) error {
 	asked := time.Now()
+	if m.held && asked.Before(m.until) && m.info == "" {
+		// Nobody else writes the row before the term is over; if somebody did, or the
+		// reply to the last write was lost, the condition fails and the row is read.
+		err := m.renew(ctx, asked)
+		if !errors.Is(err, store.ErrConflict) {
+			return err
+		}
+	}
 	row, err := m.table.Get(ctx, m.key)
 	if err != nil {
 		return err
@@ -130,6 +138,23 @@
 	return nil
 }
 
+// renew writes the row anew as this holder last saw it.
+func (m *Manager) renew(ctx context.Context, asked time.Time) error {
+	value, err := json.Marshal(Row{Holder: m.holder, Fence: m.fence, TermMillis: m.term.Milliseconds(), MarginMillis: m.margin.Milliseconds()})
+	if err != nil {
+		return fmt.Errorf("encode lease: %w", err)
+	}
+	version, err := m.table.Commit(ctx, store.Txn{
+		Conds:  []store.Cond{{Key: m.key, Version: m.version}},
+		Writes: []store.Write{{Key: m.key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	m.version, m.until = version, asked.Add(m.term-m.margin)
+	return nil
+}
+
 // mayTake reports whether a row of another holder has been seen unchanged for its
 // whole term, or a row given up for as long as an order sent before can be under way.
 func (m *Manager) mayTake(row store.Row, cur Row, now time.Time) bool {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,9 @@
 	EndpointPoll time.Duration
 	// Retry is the pause after a call that failed.
 	Retry time.Duration
+	// OwnRead is the longest pause between questions of one kind while what other
+	// processes saw in the store takes their place; 0 means that it never does.
+	OwnRead time.Duration
 }
 
 // View is what the store said last. It is immutable.
@@ -64,6 +68,8 @@
 	// ConfigAt and EndpointsAt are when the store last confirmed each.
 	ConfigAt, EndpointsAt time.Time
 	Endpoints             map[string]fleet.Endpoint
+	// Store is the store's version that the endpoints reflect, Digest identifies them.
+	Store, Digest uint64
 }
 
 // Watcher follows the store.
@@ -76,11 +82,19 @@
 	view atomic.Pointer[View]
 	// onChange is called after each change of the endpoints.
 	onChange func(*View)
+	// heard is the newest word of another process that isn't taken over yet.
+	heard chan Seen
+	// renew ends the question for the configuration that is under way, renewed is the
+	// version that it was last ended for; confirmedAt is when another process last said
+	// that the configuration is the newest.
+	renew       func()
+	renewed     uint64
+	confirmedAt time.Time
 }
 
 // New returns a watcher that has seen nothing yet; onChange may be nil.
 func New(src Source, timing Timing, onChange func(*View), log *logrus.Entry) *Watcher {
-	w := &Watcher{src: src, timing: timing, onChange: onChange, log: log}
+	w := &Watcher{src: src, timing: timing, onChange: onChange, log: log, heard: make(chan Seen, 1)}
 	w.view.Store(&View{})
 	return w
 }
@@ -96,9 +110,6 @@
 	wg.Wait()
 }
 
-// FollowConfig follows only the configuration until the context ends.
-func (w *Watcher) FollowConfig(ctx context.Context) { w.followConfig(ctx) }
-
 func (w *Watcher) update(f func(v *View)) *View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,7 +124,10 @@
 	link := link{name: "configuration", log: w.log}
 	for ctx.Err() == nil {
 		asked := time.Now()
-		ch, err := w.src.Config(ctx, version, w.timing.ConfigWait)
+		ch, err := w.askConfig(ctx, version)
+		if errors.Is(err, errRenewed) {
+			continue
+		}
 		link.note(ctx, err)
 		if err != nil {
 			sleep(ctx, w.timing.Retry)
@@ -163,7 +177,10 @@
 		before := b.endpoints
 		b = b.with(ch, time.Now())
 		w.logChanges(before, b.endpoints)
-		v := w.update(func(v *View) { v.Endpoints, v.EndpointsAt = b.endpoints, b.answered })
+		sum := digest(b.endpoints)
+		v := w.update(func(v *View) {
+			v.Endpoints, v.EndpointsAt, v.Store, v.Digest = b.endpoints, b.answered, version, sum
+		})
 		if w.onChange != nil {
 			w.onChange(v)
 		}
@@ -171,7 +188,11 @@
 		if time.Since(began) < startFor {
 			pause = min(pause, startPoll)
 		}
-		sleep(ctx, pause)
+		if w.timing.OwnRead <= 0 || time.Since(began) < startFor {
+			sleep(ctx, pause)
+			continue
+		}
+		b, version = w.rely(ctx, b, version, pause)
 	}
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -47,6 +47,9 @@
 	maxHeaderBytes = 32 << 10
 	// storeRetry is the pause after a call of the store that failed.
 	storeRetry = 200 * time.Millisecond
+	// ownRead is the longest time that a gateway relies on what the planner read in the
+	// store before it reads itself; the store keeps its history for 20 s.
+	ownRead = 8 * time.Second
 	// orderDelay is taken off the planner's lease: the time that an order takes to a keeper.
 	orderDelay = 500 * time.Millisecond
 	// tidyEvery is the pause between looks for connections that are idle for too long.
@@ -77,7 +80,7 @@
 		return nil, err
 	}
 	var d *desk.Desk
-	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, Retry: storeRetry},
+	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, Retry: storeRetry, OwnRead: ownRead},
 		func(v *watch.View) { d.Refresh(v) }, log)
 	d, err := desk.New(desk.Settings{
 		Name: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, AskEvery: askEvery, SayEvery: sayEvery,
@@ -90,6 +93,7 @@
 		Again: again.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, d, hop.NewPool(dialTimeout), pass.NewMetrics(reg), log)
 	g.desk = d
+	d.Hear(w.Hear)
 	d.Exchange(g.pass.Used, g.pass.Learn, g.pass.LearnMark)
 
 	r := mux.NewRouter()
--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -11,7 +12,7 @@
 // MaxBytes bounds a datagram, so that it fits one packet of a local network with room to spare.
 const MaxBytes = 8192
 
-// Message is one of *Ask, *State and *Demand.
+// Message is one of *Ask, *State, *Demand and *Seen.
 type Message interface{ kind() byte }
 
 // Ask is what a gateway wants of a keeper; it is also a subscription to its states.
@@ -116,9 +117,22 @@
 	Waiting int
 }
 
+// Seen is what the planner's gateway read in the store just now.
+type Seen struct {
+	// Store is the store's version, Endpoints the digest of the endpoints at it.
+	Store, Endpoints uint64
+	// Config is the version of the configuration, ConfigAge how long ago the store
+	// confirmed it.
+	Config    uint64
+	ConfigAge time.Duration
+	// Resigned is set when the gateway no longer plans.
+	Resigned bool
+}
+
 func (*Ask) kind() byte    { return 1 }
 func (*State) kind() byte  { return 2 }
 func (*Demand) kind() byte { return 3 }
+func (*Seen) kind() byte   { return 4 }
 
 // errMessage means that a datagram is no message of this protocol.
 var errMessage = errors.New("the datagram is no message of this protocol; check what sends to this port")
@@ -152,6 +166,8 @@
 		m = &State{}
 	case (*Demand)(nil).kind():
 		m = &Demand{}
+	case (*Seen)(nil).kind():
+		m = &Seen{}
 	default:
 		return nil, errMessage
 	}
--- a/internal/protocol/beat/beat_test.go
+++ b/internal/protocol/beat/beat_test.go
@@ -3,12 +3,14 @@
 import (
 	"reflect"
 	"testing"
+	"time"
 )
 
 var messages = []Message{
 	&Ask{Gateway: "g", Endpoint: "e", Born: 7, Engine: 9, Used: []string{"m/a"}, Want: []string{"m/b"}, Move: &Move{Term: 1, ID: 2, Drop: []string{"x"}, Load: "y"}},
 	&State{Address: "10.0.0.1:1", Endpoint: "e", Life: 3, Number: 4, Alive: true, Models: []Model{{Name: "m", Version: 1, Adapters: []string{"a"}}}, Gateways: 2},
 	&Demand{Gateway: "g", Life: 1, Number: 2, Models: []ModelDemand{{Service: "s", Model: "m", Work: 0.5, Waiting: 1}}},
+	&Seen{Store: 8, Endpoints: 1 << 63, Config: 3, ConfigAge: time.Second, Resigned: true},
 }
 
 func TestRoundTrip(t *testing.T) {
--- /dev/null
+++ b/internal/transport/desk/announce_test.go
@@ -0,0 +1,120 @@
+package desk
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/lease"
+	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/state/fleet"
+)
+
+// gate is a gateway's desk with what it heard.
+type gate struct {
+	*Desk
+	heard chan watch.Seen
+}
+
+func startGate(t *testing.T, name string, rows *rows, view *watch.View) *gate {
+	t.Helper()
+	free, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := free.LocalAddr().String()
+	_ = free.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := New(Settings{Name: name, Listen: self, KeeperPort: 9, AskEvery: 50 * time.Millisecond, SayEvery: 20 * time.Millisecond},
+		func() *watch.View { return view }, lease.New(rows, lease.Settings{Key: "planner", Holder: self, Term: 4 * time.Second, Margin: 500 * time.Millisecond}), rows, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{Desk: d, heard: make(chan watch.Seen, 64)}
+	d.Hear(func(s watch.Seen) { g.heard <- s })
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { d.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return g
+}
+
+func (g *gate) plans() bool {
+	g.planner.mu.Lock()
+	defer g.planner.mu.Unlock()
+	return time.Now().Before(g.planner.until)
+}
+
+// TestPlannerTellsWhatItRead plays two gateways: the one that plans tells the other what
+// it read in the store, and another one plans soon after it stops.
+func TestPlannerTellsWhatItRead(t *testing.T) {
+	rows := &rows{rows: map[string]store.Row{}}
+	view := &watch.View{
+		HasConfig: true, Config: fleet.NewConfig(7, nil, nil, fleet.Limits{}), ConfigAt: time.Now().Add(-time.Second),
+		EndpointsAt: time.Now(), Store: 40, Digest: 99,
+	}
+	a := startGate(t, "a", rows, view)
+	until(t, "the first gateway plans", a.plans)
+	b := startGate(t, "b", rows, view)
+	var got watch.Seen
+	until(t, "the second gateway hears the first", func() bool {
+		a.Refresh(view)
+		select {
+		case got = <-b.heard:
+			return true
+		default:
+			return false
+		}
+	})
+	if got.Store != 40 || got.Digest != 99 || got.Config != 7 {
+		t.Errorf("heard %+v", got)
+	}
+	if age := time.Since(got.ConfigAt); age < time.Second || age > 3*time.Second {
+		t.Errorf("the configuration was confirmed %v ago, want one second and the way", age)
+	}
+	b.Refresh(view)
+	select {
+	case s := <-a.heard:
+		t.Errorf("a gateway that doesn't plan announced %+v", s)
+	case <-time.After(100 * time.Millisecond):
+	}
+
+	a.Resign()
+	began := time.Now()
+	until(t, "the second gateway plans", b.plans)
+	if took := time.Since(began); took > freeEvery+leaseEvery {
+		t.Errorf("the second gateway planned %v after the first stopped", took)
+	}
+}
+
+func TestLeaseIsReadWhenDue(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	for _, tc := range []struct {
+		name  string
+		p     *planner
+		asked time.Time
+		want  bool
+	}{
+		{"at the start", &planner{}, time.Time{}, true},
+		{"while another gateway announces itself", &planner{heardAt: ago(500 * time.Millisecond), holder: "h"}, ago(time.Minute), false},
+		{"when it falls silent", &planner{heardAt: ago(awayAfter), holder: "h"}, ago(time.Minute), true},
+		{"while it stays silent, not sooner than usual", &planner{heardAt: ago(2 * time.Second), holder: "h"}, ago(time.Second), false},
+		{"and then again", &planner{heardAt: ago(4 * time.Second), holder: "h"}, ago(leaseEvery), true},
+		{"soon while nobody holds it", &planner{}, ago(freeEvery), true},
+		{"the holder renews", &planner{until: now.Add(time.Second), holder: "self"}, ago(leaseEvery), true},
+		{"though a frozen one announced itself", &planner{until: now.Add(time.Second), heardAt: ago(0), holder: "h"}, ago(leaseEvery), true},
+		{"but not too often", &planner{until: now.Add(time.Second), holder: "self"}, ago(time.Second), false},
+	} {
+		if got := tc.p.due(tc.asked, now); got != tc.want {
+			t.Errorf("%s: due %v", tc.name, got)
+		}
+	}
+}
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -75,8 +75,10 @@
 	learn func(e fleet.Endpoint, chains []uint64)
 	// marked takes what other gateways know of requests that may crash endpoints.
 	marked func(m poison.Mark)
-	conn   net.PacketConn
-	log    *logrus.Entry
+	// hear takes what the planner's gateway read in the store.
+	hear func(watch.Seen)
+	conn net.PacketConn
+	log  *logrus.Entry
 
 	mu sync.Mutex
 	// reports are by address of the endpoint.
@@ -99,7 +101,8 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	d := &Desk{
-		cfg: cfg, view: view, used: func(string) ([]string, []uint64) { return nil, nil }, learn: func(fleet.Endpoint, []uint64) {}, marked: func(poison.Mark) {}, conn: conn, log: log,
+		cfg: cfg, view: view, used: func(string) ([]string, []uint64) { return nil, nil }, learn: func(fleet.Endpoint, []uint64) {}, marked: func(poison.Mark) {},
+		hear: func(watch.Seen) {}, conn: conn, log: log,
 		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemand(),
 	}
 	d.planner = newPlanner(d, lease, rows)
@@ -115,6 +118,10 @@
 	d.used, d.learn, d.marked = used, learn, marked
 }
 
+// Hear sets what takes the planner's word of what it read in the store. It must be called
+// before Run.
+func (d *Desk) Hear(hear func(watch.Seen)) { d.hear = hear }
+
 // Run serves the desk until the context ends.
 func (d *Desk) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = d.conn.Close() })
@@ -162,6 +169,7 @@
 	if v.HasConfig {
 		d.askThese(v, fresh)
 	}
+	d.planner.announce(v, time.Now())
 }
 
 // rebuild makes the snapshot anew; holdings says whether waiting requests should look again.
@@ -294,9 +302,26 @@
 		case *beat.State:
 			d.take(m)
 		case *beat.Demand:
-			d.planner.take(m)
+			d.planner.take(m, from.String())
+		case *beat.Seen:
+			d.planner.announced(m, from.String(), time.Now())
+			if !m.Resigned && d.reported() {
+				d.hear(watch.Seen{Store: m.Store, Digest: m.Endpoints, Config: m.Config, ConfigAt: time.Now().Add(-m.ConfigAge)})
+			}
+		}
+	}
+}
+
+// reported reports whether all engines' keepers tell what the registrations would. If one
+// doesn't, the gateway reads the registrations itself.
+func (d *Desk) reported() bool {
+	v := d.view()
+	for _, s := range d.States() {
+		if !s.Reported && d.engineOf(v, s.Endpoint) != nil {
+			return false
 		}
 	}
+	return true
 }
 
 // take takes over a keeper's state.
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -36,6 +36,10 @@
 const (
 	// leaseEvery is the pause between refreshes, less than half of the lease's term.
 	leaseEvery = 1600 * time.Millisecond
+	// lookEvery is the pause between looks whether the lease has to be read, awayAfter the
+	// silence from which the planner may be gone: it announces itself each time it has read
+	// the endpoints, every 0.6 s. freeEvery is the pause while nobody holds the lease.
+	lookEvery, awayAfter, freeEvery = 200 * time.Millisecond, 900 * time.Millisecond, 600 * time.Millisecond
 	// planEvery is the pause between decisions.
 	planEvery = 150 * time.Millisecond
 	// moveTimeout is how long an order under way keeps its endpoint from another one.
@@ -53,7 +57,9 @@
 )
 
 type gatewayDemand struct {
-	at     time.Time
+	at time.Time
+	// from is the gateway's address for datagrams, empty for this gateway itself.
+	from   string
 	life   int64
 	number uint64
 	models []beat.ModelDemand
@@ -89,13 +95,17 @@
 	storedAt time.Time
 	// wrote is when the demand was last written down.
 	wrote time.Time
+	// heardAt is when another gateway last announced that it plans; look is signalled when
+	// one says that it no longer does.
+	heardAt time.Time
+	look    chan struct{}
 	// resigned ends the planner's hold on the lease.
 	resigned chan struct{}
 	resign   sync.Once
 }
 
 func newPlanner(d *Desk, l Lease, rows store.Table) *planner {
-	return &planner{desk: d, lease: l, rows: rows, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}, resigned: make(chan struct{})}
+	return &planner{desk: d, lease: l, rows: rows, life: time.Now().UnixNano(), heard: map[string]gatewayDemand{}, moves: map[string]*underway{}, look: make(chan struct{}, 1), resigned: make(chan struct{})}
 }
 
 func (p *planner) run(ctx context.Context) {
@@ -137,17 +147,22 @@
 		case <-ctx.Done():
 		}
 	}()
+	var asked time.Time
 	for ctx.Err() == nil {
-		err := p.refresh(ctx)
-		if err == nil {
-			p.remember(ctx, time.Now())
-		}
-		if err != nil && !errors.Is(err, lease.ErrHeld) && ctx.Err() == nil {
-			p.desk.log.WithError(err).Debug("the planner's lease was not refreshed")
+		if now := time.Now(); p.due(asked, now) {
+			asked = now
+			err := p.refresh(ctx)
+			if err == nil {
+				p.remember(ctx, time.Now())
+			}
+			if err != nil && !errors.Is(err, lease.ErrHeld) && ctx.Err() == nil {
+				p.desk.log.WithError(err).Debug("the planner's lease was not refreshed")
+			}
 		}
-		t := time.NewTimer(leaseEvery)
+		t := time.NewTimer(lookEvery)
 		select {
 		case <-t.C:
+		case <-p.look:
 		case <-ctx.Done():
 		}
 		t.Stop()
@@ -159,6 +174,85 @@
 	p.mu.Unlock()
 	if err := p.lease.Release(release); err != nil {
 		p.desk.log.WithError(err).Info("the planner's lease was not given up; another gateway waits for its term")
+		return
+	}
+	p.tell(&beat.Seen{Resigned: true}, time.Now())
+}
+
+// due reports whether the lease has to be read or renewed: not while another gateway
+// announces that it holds it, at once when that one falls silent.
+func (p *planner) due(asked, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silent := p.heardAt.Add(awayAfter)
+	switch {
+	case now.Before(p.until):
+		return now.Sub(asked) >= leaseEvery
+	case now.Before(silent):
+		return false
+	case asked.Before(silent):
+		return true
+	case p.holder == "":
+		// A lease that was given up may be taken once orders sent before have arrived.
+		return now.Sub(asked) >= freeEvery
+	default:
+		return now.Sub(asked) >= leaseEvery
+	}
+}
+
+// announce tells the other gateways what this one read in the store, if it plans.
+func (p *planner) announce(v *watch.View, now time.Time) {
+	p.mu.Lock()
+	plans := now.Before(p.until)
+	p.mu.Unlock()
+	if !plans || !v.HasConfig {
+		return
+	}
+	p.tell(&beat.Seen{Store: v.Store, Endpoints: v.Digest, Config: v.Config.Version, ConfigAge: now.Sub(v.ConfigAt)}, now)
+}
+
+// tell sends a message to all gateways that told their demand lately.
+func (p *planner) tell(m *beat.Seen, now time.Time) {
+	data, err := beat.Encode(m)
+	if err != nil {
+		p.desk.log.WithError(err).Error("the planner's word could not be encoded")
+		return
+	}
+	var to []string
+	p.mu.Lock()
+	for _, h := range p.heard {
+		if h.from != "" && now.Sub(h.at) <= demandFor {
+			to = append(to, h.from)
+		}
+	}
+	p.mu.Unlock()
+	for _, a := range to {
+		addr, err := net.ResolveUDPAddr("udp4", a)
+		if err == nil {
+			_, err = p.desk.conn.WriteTo(data, addr)
+		}
+		if err != nil {
+			p.desk.log.WithError(err).WithField("gateway", a).Debug("the planner's word was not sent")
+		}
+	}
+}
+
+// announced takes over that another gateway plans, or no longer does.
+func (p *planner) announced(m *beat.Seen, from string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.until) {
+		// The sender was frozen and doesn't know yet that its term is over.
+		return
+	}
+	if !m.Resigned {
+		p.heardAt, p.holder = now, from
+		return
+	}
+	p.heardAt, p.holder = time.Time{}, ""
+	select {
+	case p.look <- struct{}{}:
+	default:
 	}
 }
 
@@ -188,14 +282,14 @@
 }
 
 // take takes over what a gateway says of its demand.
-func (p *planner) take(m *beat.Demand) {
+func (p *planner) take(m *beat.Demand, from string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := p.heard[m.Gateway]
 	if m.Life < old.life || m.Life == old.life && m.Number <= old.number {
 		return
 	}
-	p.heard[m.Gateway] = gatewayDemand{at: time.Now(), life: m.Life, number: m.Number, models: m.Models}
+	p.heard[m.Gateway] = gatewayDemand{at: time.Now(), from: from, life: m.Life, number: m.Number, models: m.Models}
 }
 
 // say tells the planner the demand at this gateway.
@@ -207,7 +301,7 @@
 	holder := p.holder
 	p.mu.Unlock()
 	if holder == "" || holder == d.cfg.Listen {
-		p.take(m)
+		p.take(m, "")
 		return
 	}
 	addr, err := net.ResolveUDPAddr("udp4", holder)
