--- a/internal/protocol/hop/do.go
+++ b/internal/protocol/hop/do.go
@@ -7,8 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -49,6 +52,8 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
+	// Trailer holds the fields after the body, if there are any.
+	Trailer http.Header
 	// IDHeader names the header field that an endpoint echoes; ID is its value.
 	IDHeader, ID string
 }
@@ -62,14 +67,17 @@
 	// UntilClose is set when only the end of the connection ends the body.
 	UntilClose bool
 
-	body io.ReadCloser
+	resp *http.Response
 	done func(whole bool)
 	read bool
 }
 
+// Trailer returns the fields after the body once it has been read whole.
+func (r *Response) Trailer() http.Header { return r.resp.Trailer }
+
 // Read reads the body; io.EOF means that it is whole.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
+	n, err := r.resp.Body.Read(p)
 	if err == io.EOF {
 		r.read = true
 	}
@@ -114,9 +122,9 @@
 		return nil, &Error{Stage: stage, Kept: kept, Cause: err}
 	}
 	var written atomic.Bool
-	head := head(req)
-	if len(req.Body) <= inlineBody {
-		if n, err := c.Write(append(head, req.Body...)); err != nil {
+	head, body := head(req), body(req)
+	if len(body) <= inlineBody {
+		if n, err := c.Write(append(head, body...)); err != nil {
 			if n == 0 && !kept {
 				return fail(Unsent, err)
 			}
@@ -125,7 +133,7 @@
 		written.Store(true)
 	} else {
 		go func() {
-			bufs := net.Buffers{head, req.Body}
+			bufs := net.Buffers{head, body}
 			if _, err := bufs.WriteTo(c.Conn); err == nil {
 				written.Store(true)
 			}
@@ -137,7 +145,7 @@
 		return fail(Sent, err)
 	}
 	c.noteKeepAlive(resp.Header)
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp}
 	out.UntilClose = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	out.done = func(whole bool) {
 		ended := !stop()
@@ -183,9 +191,31 @@
 		// A bytes.Buffer returns no error.
 		return nil
 	}
-	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
+	switch {
+	case len(req.Trailer) > 0:
+		// Fields can follow a body only in chunks.
+		fmt.Fprintf(&b, "Trailer: %s\r\nTransfer-Encoding: chunked\r\n", strings.Join(slices.Sorted(maps.Keys(req.Trailer)), ", "))
+	case len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead:
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.Body))
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
+
+// body returns the body as it is sent.
+func body(req *Request) []byte {
+	if len(req.Trailer) == 0 {
+		return req.Body
+	}
+	var b bytes.Buffer
+	if len(req.Body) > 0 {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(req.Body), req.Body)
+	}
+	b.WriteString("0\r\n")
+	if err := req.Trailer.Write(&b); err != nil {
+		// A bytes.Buffer returns no error.
+		return nil
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -335,7 +335,7 @@
 		}
 		loads := p.loads[name].WithRate(now, svc.Engine.LoadsPerSecond*loadShare)
 		demand := p.total(name, now)
-		begun, waiting := p.starts(name, reports, now)
+		begun, waiting := p.starts(name, reports)
 		starts := copies.Starts{Rate: svc.Engine.LoadsPerSecond, Window: p.desk.cfg.LoadWindow}
 		for range maxMoves {
 			after, _, may := loads.Take(now, 1)
@@ -364,7 +364,7 @@
 // starts returns the times at which loads of a service's models from the weight store
 // began, and the number of those that were ordered and haven't begun. The order of a
 // planner before may need the weight store too.
-func (p *planner) starts(service string, reports map[string]keeperState, now time.Time) (begun []time.Time, waiting int) {
+func (p *planner) starts(service string, reports map[string]keeperState) (begun []time.Time, waiting int) {
 	for id, r := range reports {
 		if r.state.Service != service {
 			continue
--- a/internal/transport/pass/answer.go
+++ b/internal/transport/pass/answer.go
@@ -21,6 +21,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// trailer holds the fields after the body.
+	trailer http.Header
 }
 
 // plain passes a plain answer on.
@@ -37,7 +39,7 @@
 		}
 		return another{ran: true, broken: c.ctx.Err() == nil, reason: "answer_broken"}
 	}
-	a := &answer{status: resp.Status, header: forward(resp.Header), body: b.Bytes()}
+	a := &answer{status: resp.Status, header: forward(resp.Header), body: b.Bytes(), trailer: forward(resp.Trailer())}
 	if resp.Status >= http.StatusInternalServerError {
 		h.track.result(e, false)
 		return another{ran: true, reason: "failed_" + strconv.Itoa(resp.Status), answer: a}
@@ -51,9 +53,11 @@
 // deliver sends an endpoint's whole answer to the client.
 func (h *Handler) deliver(c *call, a *answer, outcome string) {
 	copyHeader(c.w.Header(), a.header)
-	if c.in.Method != http.MethodHead {
+	// Fields can follow only a body without a length.
+	if c.in.Method != http.MethodHead && len(a.trailer) == 0 {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
+	addTrailer(c.w, a.trailer)
 	c.w.WriteHeader(a.status)
 	c.begun, c.status, c.outcome = true, a.status, outcome
 	if _, err := c.w.Write(a.body); err != nil {
@@ -61,6 +65,13 @@
 	}
 }
 
+// addTrailer sends fields after the body.
+func addTrailer(w http.ResponseWriter, trailer http.Header) {
+	for k, v := range trailer {
+		w.Header()[http.TrailerPrefix+k] = v
+	}
+}
+
 // long passes on an answer that is too long to hold.
 func (h *Handler) long(c *call, e fleet.Endpoint, resp *hop.Response, start []byte) verdict {
 	copyHeader(c.w.Header(), forward(resp.Header))
@@ -79,6 +90,7 @@
 		}
 		h.abort(c, "answer_broken")
 	}
+	addTrailer(c.w, forward(resp.Trailer()))
 	h.track.result(e, true)
 	c.outcome = "answered"
 	return finished{}
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -202,7 +202,7 @@
 	}
 	sent := time.Now()
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &hop.Request{
-		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body,
+		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body, Trailer: h.cfg.Names.request(c.in.Trailer),
 		IDHeader: h.cfg.Names.RequestID, ID: c.id,
 	})
 	if err != nil {
--- a/internal/transport/pass/stream.go
+++ b/internal/transport/pass/stream.go
@@ -48,6 +48,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			h.begin(c, resp)
+			addTrailer(c.w, forward(resp.Trailer()))
 			h.track.result(e, true)
 			c.outcome = "answered"
 			return finished{}
