platform/soak: real gateways and keepers as processes under seeded faults

Change: chervilhead soak starts gateways and keepers on loopback before the stand-in of the platform and plays a schedule drawn from a seed: faults of the store for each process, proxies that delay, silence, cut one way or reset connections, engines and endpoints that crash or leave, SIGTERM, SIGKILL and SIGSTOP of gateways and keepers, all of them at once, changes of the configuration and a dropped history, in series and overlapping. Clients use open connections until they are gone. It checks TWICE, REFUSED, UNASKED, MIXED, ORDER, ONE, LIMIT, LOST, DENIED, CONFIG, DRAIN, BUDGET and RECOVER. Ruled out: faults of the time of day, which need rights that the soak doesn't have.

--- /dev/null
+++ b/internal/cmds/soak.go
@@ -0,0 +1,81 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"chervilhead/platform/soak"
+)
+
+// newSoak returns the command that plays seeds of the soak.
+func newSoak() *cobra.Command {
+	cfg := soak.Settings{}
+	var seeds int
+	var dir string
+	cmd := &cobra.Command{
+		Use: "soak", Short: "Run gateways and keepers as processes under seeded faults and check the platform's rules", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := untilSignal(cmd.Context())
+			defer cancel()
+			bin, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("find this program: %w", err)
+			}
+			if dir == "" {
+				if dir, err = os.MkdirTemp("", "chervilhead-soak-"); err != nil {
+					return fmt.Errorf("make a directory for logs: %w", err)
+				}
+			}
+			cfg.Binary = bin
+			failed := 0
+			first := cfg.Seed
+			for i := range seeds {
+				cfg.Seed = first + uint64(i)
+				cfg.Dir = filepath.Join(dir, fmt.Sprintf("seed-%d", cfg.Seed))
+				rep, err := soak.Run(ctx, cfg)
+				if err != nil {
+					return fmt.Errorf("seed %d: %w", cfg.Seed, err)
+				}
+				counts, err := json.Marshal(rep.Counts)
+				if err != nil {
+					return fmt.Errorf("encode the counts: %w", err)
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "seed %d: %d faults, %d broken rules, %s\n", rep.Seed, len(rep.Schedule), len(rep.Broken), counts)
+				if len(rep.Broken) == 0 {
+					if err := os.RemoveAll(cfg.Dir); err != nil {
+						return fmt.Errorf("remove the logs of a seed that passed: %w", err)
+					}
+					continue
+				}
+				failed++
+				for _, e := range rep.Schedule {
+					fmt.Fprintln(cmd.OutOrStdout(), "  fault", e)
+				}
+				for _, b := range rep.Broken {
+					fmt.Fprintln(cmd.OutOrStdout(), "  broken", b)
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), "  logs in", cfg.Dir)
+			}
+			if failed > 0 {
+				return &ExitError{exitFailure, fmt.Errorf("%d of %d seeds broke a rule", failed, seeds)}
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.Uint64Var(&cfg.Seed, "seed", 1, "the first seed")
+	f.IntVar(&seeds, "seeds", 1, "the number of seeds, one after another")
+	f.DurationVar(&cfg.Length, "length", 20*time.Second, "the time in which faults begin, per seed")
+	f.IntVar(&cfg.Gateways, "gateways", 3, "the number of gateways")
+	f.IntVar(&cfg.Plain, "plain", 4, "the number of plain endpoints")
+	f.IntVar(&cfg.Engines, "engines", 3, "the number of model engines, each with a keeper")
+	f.IntVar(&cfg.Clients, "clients", 24, "the number of clients, each with one request at a time")
+	f.BoolVar(&cfg.Calm, "calm", false, "leave all faults out")
+	f.StringVar(&dir, "dir", "", "the directory for settings and logs; those of seeds that pass are removed")
+	return cmd
+}
