watch, desk: a planner in doubt says nothing; after a word all registrations are read

A gateway that has had no answer of the store for 1.5 s keeps endpoints that are removed within 2.3 s, as the store may have lost them for a moment. If that gateway plans, its digest still had such an endpoint, others with the same digest took that for the store's state, went on from the store's version of that word and so never saw the removal in the feed. Ruled out: a late word or a slow poll (a word older than the gateway's own reading says nothing, and a mute planner is noticed within a second). Change: the planner's gateway says nothing while it may keep endpoints that are gone; a gateway that relied on words reads all registrations next, not the changes since them. Words count for 0.78 s in place of 0.96 s. Before and after: TestHeardRemoval fails on the code before.

--- a/internal/coordination/watch/heard.go
+++ b/internal/coordination/watch/heard.go
@@ -25,7 +25,7 @@
 
 // relyFactor stretches the pause before the store is asked after another process's word,
 // so that the next word, which takes that process a pause and a call, comes first.
-const relyFactor = 1.6
+const relyFactor = 1.3
 
 // errRenewed means that a question for the configuration was ended to ask anew.
 var errRenewed = errors.New("the question for the configuration was ended; ask again")
@@ -65,18 +65,19 @@
 
 // rely waits until the endpoints are to be asked for again: at once if another process
 // saw others, else after the pause, or later while other processes see the same. It
-// returns the book and the store's version that their words confirm.
+// returns the book that their words confirm and the version to ask from: 0, all
+// registrations, after any word, because the changes until it were not read here.
 func (w *Watcher) rely(ctx context.Context, b book, version uint64, pause time.Duration) (book, uint64) {
 	began := time.Now()
 	limit := began.Add(max(pause, w.timing.OwnRead))
 	due := began.Add(pause)
-	sum := w.View().Digest
+	sum, newest := w.View().Digest, version
 	for {
 		t := time.NewTimer(time.Until(due))
 		select {
 		case s := <-w.heard:
 			t.Stop()
-			if s.Store < version {
+			if s.Store < newest {
 				// It is older than what this process read itself.
 				continue
 			}
@@ -84,7 +85,7 @@
 				return b, version
 			}
 			now := time.Now()
-			b.answered, version = now, s.Store
+			b.answered, newest, version = now, s.Store, 0
 			if due = now.Add(time.Duration(relyFactor * float64(pause))); due.After(limit) {
 				due = limit
 			}
--- a/internal/coordination/watch/heard_test.go
+++ b/internal/coordination/watch/heard_test.go
@@ -20,6 +20,9 @@
 
 	mu        sync.Mutex
 	endpoints []fleet.Endpoint
+	// changedAt is the version of the last change of the endpoints, gone those removed by it.
+	changedAt uint64
+	gone      []string
 	config    uint64
 	changed   chan struct{}
 	// silent makes questions for the configuration end without an answer, news makes the
@@ -62,11 +65,25 @@
 	return ConfigChange{Version: s.version(), Config: fleet.NewConfig(s.config, nil, nil, fleet.Limits{}), Changed: true}, nil
 }
 
-func (s *fakeStore) Endpoints(context.Context, uint64) (EndpointChange, error) {
+func (s *fakeStore) Endpoints(_ context.Context, after uint64) (EndpointChange, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return EndpointChange{Version: s.version(), Whole: true, Endpoints: s.endpoints}, nil
+	if after == 0 {
+		return EndpointChange{Version: s.version(), Whole: true, Endpoints: s.endpoints}, nil
+	}
+	ch := EndpointChange{Version: s.version()}
+	if s.changedAt > after {
+		ch.Endpoints, ch.Gone = s.endpoints, s.gone
+	}
+	return ch, nil
+}
+
+// set replaces the endpoints.
+func (s *fakeStore) set(gone []string, list ...fleet.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints, s.gone, s.changedAt = list, gone, s.version()
 }
 
 func (s *fakeStore) change(f func()) {
@@ -153,7 +170,7 @@
 		own := newFakeStore()
 		p := startPair(t, own)
 		for _, s := range []*fakeStore{p.store, own} {
-			s.change(func() { s.endpoints = []fleet.Endpoint{{ID: "a", Leaving: true}, {ID: "b"}} })
+			s.set(nil, fleet.Endpoint{ID: "a", Leaving: true}, fleet.Endpoint{ID: "b"})
 		}
 		time.Sleep(650 * time.Millisecond)
 		if !p.next.View().Endpoints["a"].Leaving {
@@ -172,6 +189,46 @@
 	})
 }
 
+// TestHeardRemoval plays a word that says nothing of a removal: the process that gave it
+// kept the endpoint for a while. The removal is learnt from the store nevertheless.
+func TestHeardRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := newFakeStore()
+		p := startPair(t, own)
+		p.mute(true)
+		for calls, _ := own.counts(); ; time.Sleep(time.Millisecond) {
+			if now, _ := own.counts(); now > calls {
+				break
+			}
+		}
+		time.Sleep(110 * time.Millisecond)
+		own.set([]string{"a"}, fleet.Endpoint{ID: "b"})
+		for range 3 {
+			time.Sleep(110 * time.Millisecond)
+			p.next.Hear(Seen{Store: own.version(), Digest: digest(map[string]fleet.Endpoint{"a": {ID: "a"}, "b": {ID: "b"}})})
+		}
+		time.Sleep(1200 * time.Millisecond)
+		if _, ok := p.next.View().Endpoints["a"]; ok {
+			t.Error("an endpoint is still listed 1.2 s after the last word that knew it")
+		}
+	})
+}
+
+// TestDoubtful plays an outage of the store, after which endpoints may be kept that are gone.
+func TestDoubtful(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	b := book{}.with(EndpointChange{Whole: true, Endpoints: listed("a")}, at(0))
+	for _, tc := range []struct {
+		at   float64
+		want bool
+	}{{0.6, false}, {4, true}, {5, true}, {6.4, false}} {
+		b = b.with(EndpointChange{}, at(tc.at))
+		if got := b.answered.Before(b.grace); got != tc.want {
+			t.Errorf("doubtful %v at %.1f s", got, tc.at)
+		}
+	}
+}
+
 // TestHeardConfig plays a connection that went silent while the configuration changes.
 func TestHeardConfig(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -70,6 +70,8 @@
 	Endpoints             map[string]fleet.Endpoint
 	// Store is the store's version that the endpoints reflect, Digest identifies them.
 	Store, Digest uint64
+	// Doubtful is set while endpoints may be kept that the store no longer lists.
+	Doubtful bool
 }
 
 // Watcher follows the store.
@@ -179,7 +181,7 @@
 		w.logChanges(before, b.endpoints)
 		sum := digest(b.endpoints)
 		v := w.update(func(v *View) {
-			v.Endpoints, v.EndpointsAt, v.Store, v.Digest = b.endpoints, b.answered, version, sum
+			v.Endpoints, v.EndpointsAt, v.Store, v.Digest, v.Doubtful = b.endpoints, b.answered, version, sum, b.answered.Before(b.grace)
 		})
 		if w.onChange != nil {
 			w.onChange(v)
--- a/internal/transport/desk/announce_test.go
+++ b/internal/transport/desk/announce_test.go
@@ -79,6 +79,19 @@
 	if age := time.Since(got.ConfigAt); age < time.Second || age > 3*time.Second {
 		t.Errorf("the configuration was confirmed %v ago, want one second and the way", age)
 	}
+	doubtful := *view
+	doubtful.Doubtful = true
+	a.Refresh(&doubtful)
+	time.Sleep(50 * time.Millisecond)
+	for len(b.heard) > 0 {
+		<-b.heard
+	}
+	a.Refresh(&doubtful)
+	select {
+	case s := <-b.heard:
+		t.Errorf("a gateway that may keep endpoints that are gone announced %+v", s)
+	case <-time.After(100 * time.Millisecond):
+	}
 	b.Refresh(view)
 	select {
 	case s := <-a.heard:
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -200,12 +200,13 @@
 	}
 }
 
-// announce tells the other gateways what this one read in the store, if it plans.
+// announce tells the other gateways what this one read in the store, if it plans. After an
+// outage of the store it keeps endpoints that may be gone, which others must not rely on.
 func (p *planner) announce(v *watch.View, now time.Time) {
 	p.mu.Lock()
 	plans := now.Before(p.until)
 	p.mu.Unlock()
-	if !plans || !v.HasConfig {
+	if !plans || !v.HasConfig || v.Doubtful {
 		return
 	}
 	p.tell(&beat.Seen{Store: v.Store, Endpoints: v.Digest, Config: v.Config.Version, ConfigAge: now.Sub(v.ConfigAt)}, now)
