pass: a request counts once as crowded; the way to an answer in steps

Cause: a request that found no place for its adapter told the planner so with each endpoint that it asked, again after each wait. Change: one mark a request. serve is split into the choice, the mark and the judgement of a failed attempt. TestNoPlaceForAdapter counted more than once before.

--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -132,6 +132,8 @@
 	print string
 	// full are endpoints that had no place for the adapter.
 	full []string
+	// crowded is set once the request found no place for its adapter.
+	crowded bool
 	// outcome says in the log how the request ended.
 	outcome string
 	status  int
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -93,10 +94,17 @@
 // staticFleet is endpoints whose keepers say nothing.
 type staticFleet struct {
 	states func() []fleet.State
+	// full makes all keepers say that they have no place for an adapter.
+	full *atomic.Bool
+	// crowds counts the requests that found none.
+	crowds *atomic.Int64
 }
 
 func (f staticFleet) States() []fleet.State { return f.states() }
 func (f staticFleet) Fetch(context.Context, fleet.Endpoint, fleet.Name) error {
+	if f.full.Load() {
+		return errors.New("no place")
+	}
 	return nil
 }
 
@@ -109,7 +117,7 @@
 	}
 }
 func (f staticFleet) Asked(string, string, int, int) {}
-func (f staticFleet) Crowded(string, string)         {}
+func (f staticFleet) Crowded(string, string)         { f.crowds.Add(1) }
 func (f staticFleet) Gateways() int                  { return 1 }
 func (f staticFleet) Suspect(poison.Mark)            {}
 
@@ -117,6 +125,8 @@
 	*httptest.Server
 	view   atomic.Pointer[watch.View]
 	states atomic.Pointer[[]fleet.State]
+	full   atomic.Bool
+	crowds atomic.Int64
 }
 
 func startGateway(t *testing.T, kind fleet.Kind, resumable bool, endpoints ...*endpoint) *gateway {
@@ -149,7 +159,7 @@
 	log.SetOutput(io.Discard)
 	h := New(Settings{
 		Names: testNames, Zone: "z", Random: func(int64) int64 { return 0 }, ConfigStale: time.Second, Again: again.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-	}, g.view.Load, staticFleet{func() []fleet.State { return *g.states.Load() }}, hop.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
+	}, g.view.Load, staticFleet{func() []fleet.State { return *g.states.Load() }, &g.full, &g.crowds}, hop.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
 	g.Server = httptest.NewServer(h)
 	t.Cleanup(g.Close)
 	return g
@@ -205,6 +215,29 @@
 	}
 }
 
+// TestNoPlaceForAdapter plays a request for an adapter that no endpoint has a place for: it
+// is refused as not run within a part of its time, and counts once for the planner though
+// it asked several endpoints several times.
+func TestNoPlaceForAdapter(t *testing.T) {
+	a, b := startEndpoint(t, ok), startEndpoint(t, ok)
+	g := startGateway(t, fleet.Stream, false, a, b)
+	g.full.Store(true)
+	began := time.Now()
+	res, err := g.ask(t.Context(), t, "POST", "/a/x", map[string]string{"Test-Model": "m/x"}, "")
+	if err != nil || res.status != 503 || res.header.Get("Retry-After") == "" {
+		t.Fatalf("answer %+v, error %v", res, err)
+	}
+	if took := time.Since(began); took > 400*time.Millisecond {
+		t.Errorf("refused after %v of 600 ms", took)
+	}
+	if a.runs.Load()+b.runs.Load() != 0 {
+		t.Error("the request ran")
+	}
+	if n := g.crowds.Load(); n != 1 {
+		t.Errorf("counted %d times, want once", n)
+	}
+}
+
 // TestTrailers passes fields after the body on in both directions, for answers that are
 // read whole, that are too long for it, and for streams.
 func TestTrailers(t *testing.T) {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -41,65 +41,56 @@
 	minLeft = 20 * time.Millisecond
 )
 
+// next is what to do with a request that has no answer yet.
+type next interface{ next() }
+
+type (
+	// send means that the request goes to an endpoint.
+	send struct{ st fleet.State }
+	// look means that something changed and the choice is made anew.
+	look struct{}
+	// ended means that the client has its answer.
+	ended struct{}
+	// spent means that no further endpoint is asked.
+	spent struct{ why string }
+)
+
+func (send) next()  {}
+func (look) next()  {}
+func (ended) next() {}
+func (spent) next() {}
+
 // serve sends the request to endpoints until it has an answer.
 func (h *Handler) serve(c *call, service fleet.Service) {
-	slots, adapterSlots := 0, 0
 	if service.Engine != nil {
-		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
 		if _, known := service.Engine.Models[c.req.Name.Model]; !known {
 			// The configuration doesn't name the model, so that nothing can load it.
 			h.refuse(c, "unknown_model", time.Second)
 			return
 		}
 	}
-	var last another
 	if h.suspects.condemned(c, time.Now()) {
 		h.refuse(c, "crashes_endpoints", time.Until(c.limit)/comeBackPart)
 		return
 	}
-	for c.tries < maxTries {
-		if time.Until(c.limit) < minLeft || c.ctx.Err() != nil {
-			break
-		}
-		now := time.Now()
-		list := h.track.candidates(h.fleet.States(), slots, c.req, func(e fleet.Endpoint) bool { return h.pool.Idle(poolKey(e), now) })
-		est := h.track.estimates(service.Name, c.req.Name.Model)
-		ch, ok := pick.Best(c.req, list, est, now, adapterSlots, h.draw)
-		if !ok && len(c.full) > 0 && h.waitForPlace(c) {
-			continue
-		}
-		if !ok && len(c.req.Tried) > 0 {
-			break
-		}
-		if !ok {
-			if service.Engine == nil || !h.await(c, service) {
-				h.refuse(c, "no_endpoint", noEndpointWait)
-				return
-			}
+	var last another
+	for c.tries < maxTries && time.Until(c.limit) >= minLeft && c.ctx.Err() == nil {
+		var e fleet.Endpoint
+		switch n := h.choose(c, service).(type) {
+		case look:
 			continue
-		}
-		c.choice = ch
-		if c.tries == 0 && len(c.req.Tried) == 0 && c.req.Name.Model != "" {
-			h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
-		}
-		if left := time.Until(c.limit); ch.Whole(c.req.Output) > left && c.tries == 0 {
-			h.refuse(c, "too_late", left/comeBackPart)
+		case ended:
 			return
+		case spent:
+			last.reason += n.why
+			h.giveUp(c, last)
+			return
+		case send:
+			e = n.st.Endpoint
 		}
-		if c.tries > 0 && !h.track.repeat(service.Name, h.fleet.Gateways()) {
-			last.reason += ",no_budget"
-			break
-		}
-		st := stateOf(list, ch.ID)
-		e := st.Endpoint
-		if st.Reported {
-			c.reportAge = now.Sub(st.Load.At)
-		}
-		if ch.Fetch {
+		if c.choice.Fetch {
 			if err := h.fetch(c, e); err != nil {
-				c.req.Tried = append(c.req.Tried, e.ID)
-				c.full = append(c.full, e.ID)
-				h.fleet.Crowded(service.Name, c.req.Name.Model)
+				h.crowd(c, service, e)
 				last.reason = "adapter_not_loaded"
 				h.noteAttempt(c, another{reason: err.Error()})
 				continue
@@ -111,24 +102,80 @@
 			h.cleared(c, time.Now())
 			return
 		case another:
-			c.req.Tried = append(c.req.Tried, e.ID)
 			last = v
-			h.noteAttempt(c, v)
-			if v.broken {
-				h.broke(c, time.Now())
-			}
-			if v.ran {
-				c.runs++
-				if !c.route.Repeatable() || c.runs >= c.route.MaxAttempts || c.begun && c.lastID == "" {
-					h.giveUp(c, last)
-					return
-				}
+			if !h.goOn(c, e, v) {
+				h.giveUp(c, last)
+				return
 			}
 		}
 	}
 	h.giveUp(c, last)
 }
 
+// choose chooses the endpoint for the next attempt, or says why there is none.
+func (h *Handler) choose(c *call, service fleet.Service) next {
+	slots, adapterSlots := 0, 0
+	if service.Engine != nil {
+		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
+	}
+	now := time.Now()
+	list := h.track.candidates(h.fleet.States(), slots, c.req, func(e fleet.Endpoint) bool { return h.pool.Idle(poolKey(e), now) })
+	ch, ok := pick.Best(c.req, list, h.track.estimates(service.Name, c.req.Name.Model), now, adapterSlots, h.draw)
+	switch {
+	case ok:
+	case len(c.full) > 0 && h.waitForPlace(c):
+		return look{}
+	case len(c.req.Tried) > 0:
+		return spent{}
+	case service.Engine == nil || !h.await(c, service):
+		h.refuse(c, "no_endpoint", noEndpointWait)
+		return ended{}
+	default:
+		return look{}
+	}
+	c.choice = ch
+	if c.tries == 0 && len(c.req.Tried) == 0 && c.req.Name.Model != "" {
+		h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
+	}
+	if left := time.Until(c.limit); ch.Whole(c.req.Output) > left && c.tries == 0 {
+		h.refuse(c, "too_late", left/comeBackPart)
+		return ended{}
+	}
+	if c.tries > 0 && !h.track.repeat(service.Name, h.fleet.Gateways()) {
+		return spent{",no_budget"}
+	}
+	st := stateOf(list, ch.ID)
+	if st.Reported {
+		c.reportAge = now.Sub(st.Load.At)
+	}
+	return send{st}
+}
+
+// crowd notes that an endpoint had no place for the request's adapter.
+func (h *Handler) crowd(c *call, service fleet.Service, e fleet.Endpoint) {
+	c.req.Tried = append(c.req.Tried, e.ID)
+	c.full = append(c.full, e.ID)
+	if !c.crowded {
+		// Once a request, however often it asks.
+		c.crowded = true
+		h.fleet.Crowded(service.Name, c.req.Name.Model)
+	}
+}
+
+// goOn notes an attempt that failed and reports whether the request may go to another endpoint.
+func (h *Handler) goOn(c *call, e fleet.Endpoint, v another) bool {
+	c.req.Tried = append(c.req.Tried, e.ID)
+	h.noteAttempt(c, v)
+	if v.broken {
+		h.broke(c, time.Now())
+	}
+	if !v.ran {
+		return true
+	}
+	c.runs++
+	return c.route.Repeatable() && c.runs < c.route.MaxAttempts && (!c.begun || c.lastID != "")
+}
+
 // placeAgain is the pause before endpoints whose places for adapters were all in use are
 // asked again; placeShare is the part of a request's time that it may wait so.
 const (
