--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -39,10 +39,9 @@
 	Limits   Limits
 }
 
-// Limits bound what a client may send and how long it may take.
+// Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes, BodyBytes int64
-	Header, Idle           time.Duration
+	BodyBytes int64
 }
 
 // Route sends requests of a host and path prefix to services.
@@ -77,8 +76,6 @@
 type Service struct {
 	Name       string
 	HealthPath string
-	// MaxConns bounds the connections of all callers to one endpoint.
-	MaxConns int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/internal/transport/desk/desk_test.go
+++ b/internal/transport/desk/desk_test.go
@@ -83,7 +83,7 @@
 	return r, nil
 }
 
-func (e *engine) Identify(context.Context) (string, error) { return e.id, nil }
+func (e *engine) Identify(context.Context, string) (string, error) { return e.id, nil }
 
 func (e *engine) Order(_ context.Context, o keep.Order) (keep.Verdict, error) {
 	e.mu.Lock()
--- a/internal/transport/keep/asks.go
+++ b/internal/transport/keep/asks.go
@@ -134,7 +134,7 @@
 		k.log.WithField("service", k.cfg.Service).Warn("the configuration doesn't name the engine's service")
 		return
 	}
-	k.spec, k.specHave = s.Engine, want
+	k.spec, k.healthPath, k.specHave = s.Engine, s.HealthPath, want
 	if k.fence == 0 {
 		// The store's counter never goes back, so that this keeper's token is higher than
 		// that of the one before it.
--- a/internal/transport/keep/engine.go
+++ b/internal/transport/keep/engine.go
@@ -44,6 +44,7 @@
 type Engine interface {
 	Report(ctx context.Context) (Report, error)
 	Order(ctx context.Context, o Order) (Verdict, error)
-	// Identify returns the engine's id.
-	Identify(ctx context.Context) (string, error)
+	// Identify returns the engine's id, which its health check at a path says; an empty
+	// path is the usual one.
+	Identify(ctx context.Context, healthPath string) (string, error)
 }
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -82,20 +82,22 @@
 	addrs    map[string]net.Addr
 	endpoint string
 	// told is set once the engine itself has said its id.
-	told     bool
-	report   Report
-	missed   int
-	spec     *fleet.Engine
-	fence    uint64
-	specWant uint64
-	specHave uint64
-	wants    map[fleet.Name]time.Time
-	used     map[fleet.Name]time.Time
-	move     *beat.Move
-	moveAt   time.Time
-	term, id uint64
-	done     bool
-	refused  map[fleet.Name]time.Time
+	told   bool
+	report Report
+	missed int
+	spec   *fleet.Engine
+	// healthPath is that of the configuration once it was read.
+	healthPath string
+	fence      uint64
+	specWant   uint64
+	specHave   uint64
+	wants      map[fleet.Name]time.Time
+	used       map[fleet.Name]time.Time
+	move       *beat.Move
+	moveAt     time.Time
+	term, id   uint64
+	done       bool
+	refused    map[fleet.Name]time.Time
 	// kept are the chains of prompt parts that gateways saw the engine read.
 	kept map[uint64]time.Time
 	// marks are what gateways sent lately of requests that may crash endpoints.
@@ -193,8 +195,9 @@
 // identify asks the engine for its id, which is new after most restarts; registrations
 // under the old one stay for some seconds.
 func (k *Keeper) identify(ctx context.Context) {
+	path := k.healthPath
 	k.mu.Unlock()
-	id, err := k.engine.Identify(ctx)
+	id, err := k.engine.Identify(ctx, path)
 	k.mu.Lock()
 	if err != nil {
 		k.log.WithError(err).Debug("the engine did not say its id")
