--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -170,13 +170,16 @@
 	release, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	p.mu.Lock()
+	held := time.Now().Before(p.until)
 	p.until = time.Time{}
 	p.mu.Unlock()
 	if err := p.lease.Release(release); err != nil {
 		p.desk.log.WithError(err).Info("the planner's lease was not given up; another gateway waits for its term")
 		return
 	}
-	p.tell(&beat.Seen{Resigned: true}, time.Now())
+	if held {
+		p.tell(&beat.Seen{Resigned: true}, time.Now())
+	}
 }
 
 // due reports whether the lease has to be read or renewed: not while another gateway
