node: metrics of gateways and keepers on an address of the settings

Cause: keepers served no metrics and gateways only on their readiness address, while operators read the address that the deploy file names. A process whose port is taken logs that and works on. Ruled out: the drawn ports, which the deploy file can't name.

--- a/internal/cmds/platform.go
+++ b/internal/cmds/platform.go
@@ -54,7 +54,7 @@
 			return process{}, err
 		}
 		src := platform.NewStore(cfg.Store.Address, cfg.Store.Timeout, p.reg)
-		k, err := node.StartKeeper(*cfg, platform.NewEngine(cfg.Endpoint.Address, node.EngineTimeout), src, p.log)
+		k, err := node.StartKeeper(*cfg, platform.NewEngine(cfg.Endpoint.Address, node.EngineTimeout), src, p.reg, p.log)
 		if err != nil {
 			return process{}, err
 		}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -26,6 +26,8 @@
 	Callers string `yaml:"callers"`
 	// Ready serves readiness, health and metrics.
 	Ready string `yaml:"ready"`
+	// Metrics serves metrics on an address of their own; it may be empty.
+	Metrics string `yaml:"metrics"`
 	// Datagrams is for keepers and other gateways.
 	Datagrams string `yaml:"datagrams"`
 }
@@ -45,6 +47,8 @@
 
 // KeeperListen is the addresses of a keeper.
 type KeeperListen struct {
+	// Metrics serves metrics; it may be empty.
+	Metrics   string `yaml:"metrics"`
 	Datagrams string `yaml:"datagrams"`
 }
 
@@ -112,6 +116,13 @@
 	}
 }
 
+// optional checks an address that may be empty.
+func (c *checks) optional(field, value string) {
+	if value != "" {
+		c.listen(field, value)
+	}
+}
+
 func (c *checks) store(s Store) {
 	c.listen("store.address", s.Address)
 	c.positive("store.timeout", s.Timeout)
@@ -130,6 +141,7 @@
 	c.listen("listen.callers", s.Listen.Callers)
 	c.listen("listen.ready", s.Listen.Ready)
 	c.listen("listen.datagrams", s.Listen.Datagrams)
+	c.optional("listen.metrics", s.Listen.Metrics)
 	c.add(s.KeeperPort <= 0 || s.KeeperPort > 65535, "keeper_port", fmt.Sprintf("value %d is not a port", s.KeeperPort), "write a port from 1 to 65535")
 	c.store(s.Store)
 	c.add(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "a value is below zero", "write the shares that the platform allows")
@@ -150,6 +162,7 @@
 	var c checks
 	c.node(s.ID, s.FailureDomain)
 	c.listen("listen.datagrams", s.Listen.Datagrams)
+	c.optional("listen.metrics", s.Listen.Metrics)
 	c.add(s.Endpoint.Service == "", "endpoint.service", "the service is missing", "name the service of the engine on this host")
 	c.listen("endpoint.address", s.Endpoint.Address)
 	c.store(s.Store)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -60,15 +60,17 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	cfg    config.Gateway
-	log    *logrus.Entry
-	srv    *http.Server
-	pages  *httpd.Server
-	pass   *pass.Handler
-	desk   *desk.Desk
-	ready  atomic.Bool
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	cfg   config.Gateway
+	log   *logrus.Entry
+	srv   *http.Server
+	pages *httpd.Server
+	// metrics is nil where no address of their own is set.
+	metrics *httpd.Server
+	pass    *pass.Handler
+	desk    *desk.Desk
+	ready   atomic.Bool
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // StartGateway starts a gateway.
@@ -110,6 +112,7 @@
 		Handler: g.pass, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(serverLog{log}, "", 0),
 	}
+	g.metrics = serveMetrics(cfg.Listen.Metrics, reg, log)
 	g.ready.Store(true)
 	g.wg.Go(func() {
 		if err := g.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -163,6 +166,25 @@
 	}
 	g.cancel()
 	g.pages.Close()
+	if g.metrics != nil {
+		g.metrics.Close()
+	}
 	g.wg.Wait()
 	g.log.Info("gateway stopped")
 }
+
+// serveMetrics serves metrics on an address of their own, if one is set. A process works
+// without them.
+func serveMetrics(address string, reg *prometheus.Registry, log *logrus.Entry) *httpd.Server {
+	if address == "" {
+		return nil
+	}
+	r := mux.NewRouter()
+	httpd.Pages(r, func() bool { return true }, reg)
+	s, err := httpd.Listen(address, r)
+	if err != nil {
+		log.WithError(err).Warn("metrics are not served")
+		return nil
+	}
+	return s
+}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"chervilhead/internal/config"
 	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/transport/httpd"
 	"chervilhead/internal/transport/keep"
 )
 
@@ -23,13 +25,15 @@
 
 // Keeper is a running keeper.
 type Keeper struct {
-	log    *logrus.Entry
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
+	log *logrus.Entry
+	// metrics is nil where no address is set.
+	metrics *httpd.Server
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
 }
 
 // StartKeeper starts a keeper.
-func StartKeeper(cfg config.Keeper, engine keep.Engine, src watch.Source, log *logrus.Entry) (*Keeper, error) {
+func StartKeeper(cfg config.Keeper, engine keep.Engine, src watch.Source, reg *prometheus.Registry, log *logrus.Entry) (*Keeper, error) {
 	k, err := keep.New(keep.Settings{
 		Holder: cfg.ID, Service: cfg.Endpoint.Service, Address: cfg.Endpoint.Address, Listen: cfg.Listen.Datagrams,
 		Poll: reportEvery, Spacing: stateSpacing, Heartbeat: stateEvery,
@@ -38,7 +42,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Keeper{log: log, cancel: cancel}
+	n := &Keeper{log: log, metrics: serveMetrics(cfg.Listen.Metrics, reg, log), cancel: cancel}
 	n.wg.Go(func() { k.Run(ctx) })
 	log.WithFields(logrus.Fields{"endpoint": cfg.Endpoint.Address, "service": cfg.Endpoint.Service}).Info("keeper started")
 	return n, nil
@@ -47,6 +51,9 @@
 // Stop ends the keeper. What it ordered stays; the next keeper reads it from the engine.
 func (n *Keeper) Stop() {
 	n.cancel()
+	if n.metrics != nil {
+		n.metrics.Close()
+	}
 	n.wg.Wait()
 	n.log.Info("keeper stopped")
 }
