pass: a full engine's refusal tells the planner that a model needs copies

Two engines had restarted and lost their models, one of them stayed empty for good, and the third held three of five models alone and turned requests away, all its places being taken. Ruled out: a lost order or a keeper that doesn't report; the keeper of the empty engine reported, and no order was given. Change: a request that an engine turns away as full counts once like one that finds no place for its adapter.

--- a/internal/transport/desk/demand.go
+++ b/internal/transport/desk/demand.go
@@ -55,8 +55,8 @@
 	m.sum += float64(read)*readTime.Seconds() + float64(made)*madeTime.Seconds()
 }
 
-// crowdedWork is the endpoint time that a request without a place for its adapter stands
-// for: further copies have further places.
+// crowdedWork is the endpoint time that a request without a place for itself or its adapter
+// stands for: further copies have further places.
 const crowdedWork = 0.25
 
 func (d *demand) crowded(service, model string, now time.Time) {
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -437,7 +437,7 @@
 	d.demand.add(service, model, read, made, time.Now())
 }
 
-// Crowded notes that a request for a model found no place for its adapter.
+// Crowded notes that a request for a model found no place for itself or its adapter.
 func (d *Desk) Crowded(service, model string) { d.demand.crowded(service, model, time.Now()) }
 
 // Gateways returns the number of gateways that keepers see.
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -32,7 +32,7 @@
 	// Asked notes demand: a request for a model whose prompt has so many tokens to read
 	// and whose answer so many tokens to make.
 	Asked(service, model string, read, made int)
-	// Crowded notes that a request for a model found no place for its adapter.
+	// Crowded notes that a request for a model found no place for itself or its adapter.
 	Crowded(service, model string)
 	// Suspect tells the other gateways of a request that may crash endpoints.
 	Suspect(m poison.Mark)
@@ -132,7 +132,7 @@
 	print string
 	// full are endpoints that had no place for the adapter.
 	full []string
-	// crowded is set once the request found no place for its adapter.
+	// crowded is set once the request found no place for itself or its adapter.
 	crowded bool
 	// outcome says in the log how the request ended.
 	outcome string
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -238,6 +238,20 @@
 	}
 }
 
+// TestFullEngines plays a request that all copies of its model turn away because they are
+// full: it is refused as not run, and the planner learns of it.
+func TestFullEngines(t *testing.T) {
+	a, b := startEndpoint(t, notRun), startEndpoint(t, notRun)
+	g := startGateway(t, fleet.Stream, false, a, b)
+	res, err := g.ask(t.Context(), t, "POST", "/a/x", nil, "")
+	if err != nil || res.status != 503 || res.header.Get("Retry-After") == "" {
+		t.Fatalf("answer %+v, error %v", res, err)
+	}
+	if n := g.crowds.Load(); n != 1 {
+		t.Errorf("the planner was told %d times, want once", n)
+	}
+}
+
 // TestTrailers passes fields after the body on in both directions, for answers that are
 // read whole, that are too long for it, and for streams.
 func TestTrailers(t *testing.T) {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -90,7 +90,7 @@
 		}
 		if c.choice.Fetch {
 			if err := h.fetch(c, e); err != nil {
-				h.crowd(c, service, e)
+				h.noPlace(c, e)
 				last.reason = "adapter_not_loaded"
 				h.noteAttempt(c, another{reason: err.Error()})
 				continue
@@ -151,15 +151,21 @@
 	return send{st}
 }
 
-// crowd notes that an endpoint had no place for the request's adapter.
-func (h *Handler) crowd(c *call, service fleet.Service, e fleet.Endpoint) {
+// noPlace notes that an endpoint had no place for the request's adapter.
+func (h *Handler) noPlace(c *call, e fleet.Endpoint) {
 	c.req.Tried = append(c.req.Tried, e.ID)
 	c.full = append(c.full, e.ID)
-	if !c.crowded {
+	h.crowd(c)
+}
+
+// crowd tells the planner that a request for a model found no place.
+func (h *Handler) crowd(c *call) {
+	if c.crowded || c.req.Name.Model == "" {
 		// Once a request, however often it asks.
-		c.crowded = true
-		h.fleet.Crowded(service.Name, c.req.Name.Model)
+		return
 	}
+	c.crowded = true
+	h.fleet.Crowded(c.req.Service, c.req.Name.Model)
 }
 
 // goOn notes an attempt that failed and reports whether the request may go to another endpoint.
@@ -263,6 +269,10 @@
 		} else {
 			h.track.result(e, true)
 		}
+		if resp.Status == http.StatusServiceUnavailable {
+			// The endpoint is full: the estimate of its work doesn't know its places.
+			h.crowd(c)
+		}
 		return another{reason: "turned_away_" + strconv.Itoa(resp.Status)}
 	}
 	if resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices && resp.Header.Get(h.cfg.Names.Signature) == "" {
