--- a/internal/cmds/soak.go
+++ b/internal/cmds/soak.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"chervilhead/platform/soak"
+	"chervilhead/internal/soak"
 )
 
 // newSoak returns the command that plays seeds of the soak.
--- a/platform/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,7 +6,7 @@
 	"syscall"
 	"time"
 
-	"chervilhead/platform/stand"
+	"chervilhead/internal/standin/stand"
 )
 
 // kind is a kind of fault.
--- a/platform/soak/load.go
+++ b/internal/soak/load.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"chervilhead/platform/stand"
+	"chervilhead/internal/standin/stand"
 )
 
 const (
--- a/platform/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"chervilhead/internal/config"
-	"chervilhead/platform/stand"
+	"chervilhead/internal/standin/stand"
 )
 
 // The town's bounds, those of the platform's contract.
