entry: the stray connection of TestLateResume takes chunks

The test's connection had a handler without Chunk, which closes at the first chunk. The agent begins to send from its own goroutine as soon as a resume is taken, so that a chunk may overtake the reply.

Ruled out: a fault of the entry or the agent. An entry's own connection takes chunks at any time, and the call failed on the test's side.

Change: the test's handler takes chunks and drops them. The case "the connection stays open" now really has one that stays open; before it closed at the first chunk.

With the entry's check of silent attempts taken out the test fails.

--- a/internal/transport/entry/quiet_test.go
+++ b/internal/transport/entry/quiet_test.go
@@ -12,6 +12,17 @@
 	"chervilhead/internal/transport/peer"
 )
 
+// unread is the far end of a connection whose frames arrive and are not used. It takes
+// chunks as an entry does: a connection that doesn't expect them closes at the first
+// one, which may overtake the reply to a resume.
+type unread struct{}
+
+func (unread) Serve(context.Context, *peer.Conn, string, json.RawMessage) (any, error) {
+	return nil, nil
+}
+
+func (unread) Chunk(wire.Chunk) {}
+
 // TestLateResume guards against a request that never ends because a repeated resume
 // came late, on a connection that the entry no longer reads, and the agent sends the
 // answer there. The connection stays open in one case and closes in the other.
@@ -26,9 +37,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			c := peer.NewConn(t.Context(), nc, peer.HandlerFunc(func(context.Context, *peer.Conn, string, json.RawMessage) (any, error) {
-				return nil, nil
-			}), r.log)
+			c := peer.NewConn(t.Context(), nc, unread{}, r.log)
 			defer c.Close()
 			var reply wire.ResumeReply
 			if err := c.Call(t.Context(), wire.MethodResume, wire.Resume{AttemptID: h.engine.attempt, Incarnation: h.agent.Incarnation()}, &reply); err != nil || reply.State != wire.Started {
