pass: wait for a model by where its weights are nearest

A request waited for its model only if a load from the weight store (5 to 5.8 s) fits half of its time, though all but one of the first copies came from disks, in 1.0 to 1.2 s. It was told to come back after 0.7 s, when nothing could have changed.

Ruled out: the gateways' start; they served plain requests 0.1 s after it.

Change: copies.Ready gives the time until a first copy can serve, by what the keepers say of weights in memory and on disks. A request waits if that fits; otherwise it is refused at once with that time as Retry-After.

The tests' cases "from a disk" and TestNoModelInTime fail on the code before.

--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -309,7 +309,21 @@
 }
 
 // TestAwaitedModel lets the only holder of a model die; the request waits for the next copy.
+// A load from the weight store would take too long, one from a host's disk doesn't.
 func TestAwaitedModel(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		model fleet.Model
+		kept  []string
+	}{
+		{"from the weight store", fleet.Model{Name: "m", Load: 200 * time.Millisecond}, nil},
+		{"from a disk", fleet.Model{Name: "m", Load: time.Hour, Disk: 200 * time.Millisecond}, []string{"m"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) { awaitModel(t, tc.model, tc.kept) })
+	}
+}
+
+func awaitModel(t *testing.T, m fleet.Model, kept []string) {
 	e := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
 		startStream(c, r)
 		chunk(c, event(1))
@@ -319,11 +333,13 @@
 	v := *g.view.Load()
 	v.Config = fleet.NewConfig(2, []fleet.Route{{
 		Name: "r", Host: "test.example", Prefix: "/a/", Kind: fleet.Stream, Timeout: 2 * time.Second, MaxAttempts: 1, Targets: []fleet.Target{{Service: "s", Weight: 1}},
-	}}, []fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m", Load: 200 * time.Millisecond}}}}}, fleet.Limits{})
+	}}, []fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": m}}}}, fleet.Limits{})
 	g.view.Store(&v)
 	alive := *g.states.Load()
-	dead := []fleet.State{alive[0]}
+	dead := []fleet.State{alive[0], alive[0]}
 	dead[0].Reported, dead[0].Load = true, fleet.Load{At: time.Now().Add(time.Hour), Models: alive[0].Models}
+	dead[1].ID, dead[1].Models = "empty", nil
+	dead[1].Reported, dead[1].Load = true, fleet.Load{At: time.Now(), Alive: true, OnDisk: kept}
 	g.states.Store(&dead)
 	time.AfterFunc(150*time.Millisecond, func() { g.states.Store(&alive) })
 	a, err := g.ask(context.Background(), t, "POST", "/a/x", nil, "p")
@@ -332,6 +348,23 @@
 	}
 }
 
+// TestNoModelInTime asks for a model whose load takes longer than the request has: it is
+// refused at once, and told when the load can have ended.
+func TestNoModelInTime(t *testing.T) {
+	g := startGateway(t, fleet.Stream, false, startEndpoint(t, ok))
+	empty := []fleet.State{(*g.states.Load())[0]}
+	empty[0].Models = nil
+	g.states.Store(&empty)
+	began := time.Now()
+	a, err := g.ask(t.Context(), t, "POST", "/a/x", nil, "p")
+	if err != nil || a.status != 503 || a.header.Get("Retry-After") != "3600.30" {
+		t.Fatalf("answer %+v, error %v", a, err)
+	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Errorf("refused after %v", took)
+	}
+}
+
 // TestCrashingRequest sends a request again that breaks each connection; no more endpoints
 // than the platform allows get it, and other requests are served.
 func TestCrashingRequest(t *testing.T) {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilhead/internal/protocol/hop"
+	"chervilhead/internal/state/copies"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/pick"
 )
@@ -127,9 +128,11 @@
 		return look{}
 	case len(c.req.Tried) > 0:
 		return spent{}
-	case service.Engine == nil || !h.await(c, service):
+	case service.Engine == nil:
 		h.refuse(c, "no_endpoint", noEndpointWait)
 		return ended{}
+	case !h.await(c, service):
+		return ended{}
 	default:
 		return look{}
 	}
@@ -227,16 +230,22 @@
 	return h.fleet.Fetch(ctx, e, c.req.Name)
 }
 
-// await waits for a model that no usable endpoint holds, if its load can end in time.
+// await waits for a model that no usable endpoint holds. If its load can't end in time it
+// refuses the request, which may come back when the load has ended.
 func (h *Handler) await(c *call, service fleet.Service) bool {
-	m := service.Engine.Models[c.req.Name.Model]
+	ready := copies.Ready(service.Engine.Models[c.req.Name.Model], service.Name, h.fleet.States())
 	// Half of the time is left for the queue and the answer.
 	most := c.limit.Sub(c.began) / 2
-	if m.Load > most || time.Since(c.began) > most {
+	if ready > most || time.Since(c.began) > most {
 		h.fleet.Asked(service.Name, c.req.Name.Model, c.req.Tokens(), c.req.Output)
+		h.refuse(c, "no_endpoint", ready)
 		return false
 	}
-	return h.fleet.Await(c.ctx, service.Name, c.req.Name.Model) == nil
+	if h.fleet.Await(c.ctx, service.Name, c.req.Name.Model) != nil {
+		h.refuse(c, "no_endpoint", noEndpointWait)
+		return false
+	}
+	return true
 }
 
 // attempt sends the request to one endpoint.
