--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -45,6 +45,9 @@
 	// quietAfter is the age of a keeper's newest report from which its host is suspected,
 	// more than two heartbeats and a lost datagram's wait; quietFor is how long, as a keeper may be gone while its endpoint lives.
 	quietAfter, quietFor = 650 * time.Millisecond, 20 * time.Second
+	// asksUnheard is how often, between two asks of all keepers, those are asked that never
+	// reported: after a loss of all hosts they start some tenths of a second apart.
+	asksUnheard = 4
 	// defaultGateways is the number of gateways before a keeper has told one.
 	defaultGateways = 8
 )
@@ -132,10 +135,14 @@
 	wg.Go(func() { d.receive(ctx) })
 	wg.Go(func() { d.planner.run(ctx) })
 	wg.Go(func() {
-		tick := time.NewTicker(d.cfg.AskEvery)
+		tick := time.NewTicker(d.cfg.AskEvery / asksUnheard)
 		defer tick.Stop()
-		for {
-			d.askAll()
+		for n := 0; ; n++ {
+			if n%asksUnheard == 0 {
+				d.askAll()
+			} else {
+				d.askUnheard()
+			}
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
@@ -260,6 +267,20 @@
 	d.askThese(v, slices.Collect(maps.Values(v.Endpoints)))
 }
 
+// askUnheard asks the keepers that never reported.
+func (d *Desk) askUnheard() {
+	v := d.view()
+	var list []fleet.Endpoint
+	d.mu.Lock()
+	for _, e := range v.Endpoints {
+		if _, heard := d.reports[e.Address]; !heard {
+			list = append(list, e)
+		}
+	}
+	d.mu.Unlock()
+	d.askThese(v, list)
+}
+
 func (d *Desk) askThese(v *watch.View, list []fleet.Endpoint) {
 	for _, e := range list {
 		if spec := d.engineOf(v, e); spec != nil {
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -48,9 +48,6 @@
 	moveAgain = 150 * time.Millisecond
 	// demandFor is how long a gateway's report of demand counts.
 	demandFor = 4 * time.Second
-	// settle is how long a new planner waits for keepers at most, and settleShare the share
-	// of them that is enough.
-	settle, settleShare = 900 * time.Millisecond, 0.85
 	// loadShare is the share of the weight store's rate that is used; the platform's
 	// bound is over sliding windows, and an order may start late.
 	loadShare = 0.9
@@ -252,7 +249,7 @@
 	v := p.desk.view()
 	reports := p.desk.reportsNow()
 	p.confirm(reports, now)
-	if !v.HasConfig || now.Sub(p.since) < settle && !p.heardEnough(v, reports) {
+	if !v.HasConfig || !copies.Settled(now.Sub(p.since), len(reports), p.engineHosts(v)) {
 		return
 	}
 	for name, svc := range v.Config.Services() {
@@ -307,8 +304,8 @@
 	return begun, waiting
 }
 
-// heardEnough reports whether enough keepers have reported to decide.
-func (p *planner) heardEnough(v *watch.View, reports map[string]keeperState) bool {
+// engineHosts counts the hosts on which engines are registered.
+func (p *planner) engineHosts(v *watch.View) int {
 	// Registrations of incarnations that are gone lie beside the new ones for a while.
 	hosts := map[string]bool{}
 	for _, e := range v.Endpoints {
@@ -316,7 +313,7 @@
 			hosts[e.Address] = true
 		}
 	}
-	return len(hosts) > 0 && float64(len(reports)) >= settleShare*float64(len(hosts))
+	return len(hosts)
 }
 
 // maxMoves bounds the orders of one decision.
