pass: a request waits for a model no longer than its client for an event

Cause: clients leave a stream after the longest of 2 s, four objectives and eight pauses without an event.

Change: Route.Patience; a request waits for three quarters of it at most.

TestImpatientClient fails on the code before.

--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -72,6 +72,23 @@
 // Repeatable reports whether a request of the route may run more than once.
 func (r Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
+// The platform's clients give a stream up after a gap, also before its first event, that is
+// longer than each of these.
+const (
+	leastPatience     = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// Patience returns the gap after which clients give an answer up, 0 if they wait for the
+// whole of their time.
+func (r Route) Patience() time.Duration {
+	if r.Kind != Stream {
+		return 0
+	}
+	return max(leastPatience, objectivePatience*r.Objective, gapPatience*r.GapObjective)
+}
+
 // Service is a set of equal endpoints.
 type Service struct {
 	Name       string
--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -348,6 +348,29 @@
 	}
 }
 
+// TestImpatientClient asks for a model whose load fits the request's time but not its
+// client's patience: it is refused at once rather than kept until the client leaves.
+func TestImpatientClient(t *testing.T) {
+	g := startGateway(t, fleet.Stream, false, startEndpoint(t, ok))
+	v := *g.view.Load()
+	v.Config = fleet.NewConfig(2, []fleet.Route{{
+		Name: "r", Host: "test.example", Prefix: "/a/", Kind: fleet.Stream, Timeout: 15 * time.Second, Objective: 500 * time.Millisecond, GapObjective: 400 * time.Millisecond,
+		MaxAttempts: 1, Targets: []fleet.Target{{Service: "s", Weight: 1}},
+	}}, []fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: 4, Models: map[string]fleet.Model{"m": {Name: "m", Load: 5 * time.Second}}}}}, fleet.Limits{})
+	g.view.Store(&v)
+	empty := []fleet.State{(*g.states.Load())[0]}
+	empty[0].Models = nil
+	g.states.Store(&empty)
+	began := time.Now()
+	a, err := g.ask(t.Context(), t, "POST", "/a/x", map[string]string{"Test-Deadline": "15000"}, "p")
+	if err != nil || a.status != 503 || a.header.Get("Retry-After") != "5.30" {
+		t.Fatalf("answer %+v, error %v", a, err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("refused after %v; the client leaves after 3.2 s", took)
+	}
+}
+
 // TestNoModelInTime asks for a model whose load takes longer than the request has: it is
 // refused at once, and told when the load can have ended.
 func TestNoModelInTime(t *testing.T) {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -234,8 +234,7 @@
 // refuses the request, which may come back when the load has ended.
 func (h *Handler) await(c *call, service fleet.Service) bool {
 	ready := copies.Ready(service.Engine.Models[c.req.Name.Model], service.Name, h.fleet.States())
-	// Half of the time is left for the queue and the answer.
-	most := c.limit.Sub(c.began) / 2
+	most := mostWait(c.limit.Sub(c.began), c.route.Patience())
 	if ready > most || time.Since(c.began) > most {
 		h.fleet.Asked(service.Name, c.req.Name.Model, c.req.Tokens(), c.req.Output)
 		h.refuse(c, "no_endpoint", ready)
@@ -248,6 +247,21 @@
 	return true
 }
 
+// patienceShare is the part of a client's patience that may pass before its request is sent;
+// the rest is left for the queue and the first event.
+const patienceShare = 0.75
+
+// mostWait returns how long a request may wait for a model when it has some time in all
+// and its client leaves after a time without an event. Half of the time is left for the
+// queue and the answer. A client that left gets nothing; one that is refused comes back.
+func mostWait(whole, patience time.Duration) time.Duration {
+	most := whole / 2
+	if patience > 0 {
+		most = min(most, time.Duration(patienceShare*float64(patience)))
+	}
+	return most
+}
+
 // attempt sends the request to one endpoint.
 func (h *Handler) attempt(c *call, e fleet.Endpoint) verdict {
 	first, end := h.track.begin(e, c.req, c.choice.Unread)
