copies: the only ready copy of a model stays while another is on its way

Change: a copy makes way only if two are ready. Planner's hosts tell which models are on their way.

The case "a copy on its way doesn't free the one that serves" fails on the code before.

--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -10,8 +10,9 @@
 // Host is an endpoint that can hold models.
 type Host struct {
 	ID string
-	// Models are resident or on their way, without those that make way.
-	Models []string
+	// Models are resident or on their way, without those that make way; Coming are those
+	// on their way.
+	Models, Coming []string
 	// AdapterMB is the memory that adapters take.
 	AdapterMB float64
 	// Near are models whose weights the host keeps, so that no load from the weight store is needed.
@@ -75,17 +76,22 @@
 	hosts  []Host
 	demand map[string]Demand
 	copies map[string]int
-	names  []string
+	// ready counts the copies that serve now.
+	ready map[string]int
+	names []string
 }
 
 func newPlan(spec *fleet.Engine, hosts []Host, demand map[string]Demand) *plan {
-	p := &plan{spec: spec, hosts: hosts, demand: demand, copies: map[string]int{}}
+	p := &plan{spec: spec, hosts: hosts, demand: demand, copies: map[string]int{}, ready: map[string]int{}}
 	for _, h := range hosts {
 		if h.Leaving {
 			continue
 		}
 		for _, m := range h.Models {
 			p.copies[m]++
+			if !slices.Contains(h.Coming, m) {
+				p.ready[m]++
+			}
 		}
 	}
 	for n := range spec.Models {
@@ -218,7 +224,8 @@
 }
 
 // makeRoom returns the models that make way on a host, those that are missed least, and
-// what that costs. The last copy of a model stays.
+// what that costs. The last copy of a model stays until another one is ready: a load from
+// the weight store takes seconds, and requests would find none meanwhile.
 func (p *plan) makeRoom(h Host, spec fleet.Model) ([]string, float64, bool) {
 	free := p.spec.WeightsMB - h.AdapterMB
 	for _, m := range h.Models {
@@ -227,7 +234,7 @@
 	if free >= spec.WeightsMB {
 		return nil, 0, true
 	}
-	victims := slices.DeleteFunc(slices.Clone(h.Models), func(v string) bool { return p.copies[v] < 2 })
+	victims := slices.DeleteFunc(slices.Clone(h.Models), func(v string) bool { return p.copies[v] < 2 || p.ready[v] < 2 })
 	slices.SortStableFunc(victims, func(a, b string) int {
 		return cmp.Compare(p.cost(a, -1)-p.cost(a, 0), p.cost(b, -1)-p.cost(b, 0))
 	})
--- a/internal/state/copies/decide_test.go
+++ b/internal/state/copies/decide_test.go
@@ -33,6 +33,8 @@
 	}
 	near := slices.Clone(full)
 	near[1].Near = []string{"m04"}
+	coming := slices.Clone(full)
+	coming[0].Coming = []string{"m00"}
 	for _, tc := range []struct {
 		name   string
 		spec   *fleet.Engine
@@ -47,6 +49,7 @@
 		{"a busy model pushes a surplus copy out", spec(6), full, map[string]Demand{"m04": {Work: 1.5}}, true, "h0 -[m00] +m04 far=true relieve"},
 		{"the host's own copy goes first", spec(6), near, map[string]Demand{"m04": {Work: 1.5}}, true, "h1 -[m00] +m04 far=false relieve"},
 		{"a last copy stays", spec(3), hosts(1, "m00", "m01", "m02"), map[string]Demand{"m00": {Work: 9}}, true, ""},
+		{"a copy on its way doesn't free the one that serves", spec(6), coming, map[string]Demand{"m04": {Work: 1.5}}, true, "h0 -[m01] +m04 far=true relieve"},
 		{"one that requests wait for goes first", spec(8), full, map[string]Demand{"m07": {Waiting: 2}, "m04": {Work: 0.7}}, true, "h0 -[m00] +m07 far=true reach"},
 		{"a busy one before one that nobody asks for", spec(7), full, map[string]Demand{"m04": {Work: 3}}, true, "h0 -[m00] +m04 far=true relieve"},
 	} {
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -419,6 +419,7 @@
 		}
 		if reported {
 			h.Models = append(h.Models, s.Load.Loading...)
+			h.Coming = slices.Clone(s.Load.Loading)
 		}
 		h.Near = append(slices.Clone(s.Load.InMemory), s.Load.OnDisk...)
 		if u, ok := p.moves[s.ID]; ok {
@@ -426,6 +427,7 @@
 			h.Models = slices.DeleteFunc(h.Models, func(m string) bool { return slices.Contains(u.move.Drop, m) })
 			if !slices.Contains(h.Models, u.move.Load) {
 				h.Models = append(h.Models, u.move.Load)
+				h.Coming = append(h.Coming, u.move.Load)
 			}
 		}
 		out = append(out, h)
