keep, copies: the planner knows memory that unanswered orders may take

Its keeper kept room for a load without an answer and ended the planner's order as no_room; the planner saw room and gave the same order every half second, 13 times, each with a load of the weight store's rate. Other loads waited for seven seconds, in a burst.

Ruled out: late registrations; the engine had been reported empty for 3 s.

Change: keepers tell the memory beside resident models that is taken or may be taken, and the planner counts it. An order names the engine's id, so that an engine that started under another one can't carry it out: such a doubt ends.

TestOrderWithoutAnswer fails without the change (8 orders), as does the case "but not if it named the id that the engine had then".

--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -83,6 +83,9 @@
 	Done       bool
 	// Gateways is the number of gateways that ask this keeper.
 	Gateways int
+	// ReservedMB is the memory beside resident models that adapters take, or that orders
+	// without an answer may take.
+	ReservedMB float64
 }
 
 // Mark is what is known of a request that may crash endpoints.
--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -13,8 +13,8 @@
 	// Models are resident or on their way, without those that make way; Coming are those
 	// on their way.
 	Models, Coming []string
-	// AdapterMB is the memory that adapters take.
-	AdapterMB float64
+	// ReservedMB is the memory that adapters take, or that orders without an answer may take.
+	ReservedMB float64
 	// Near are models whose weights the host keeps, so that no load from the weight store is needed.
 	Near []string
 	// Usable is unset while the host leaves, doesn't answer or carries out an order.
@@ -227,7 +227,7 @@
 // what that costs. The last copy of a model stays until another one is ready: a load from
 // the weight store takes seconds, and requests would find none meanwhile.
 func (p *plan) makeRoom(h Host, spec fleet.Model) ([]string, float64, bool) {
-	free := p.spec.WeightsMB - h.AdapterMB
+	free := p.spec.WeightsMB - h.ReservedMB
 	for _, m := range h.Models {
 		free -= p.spec.Models[m].WeightsMB
 	}
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -76,6 +76,9 @@
 	// Pending are adapters, Loading models on their way.
 	Pending []Name
 	Loading []string
+	// ReservedMB is the memory beside resident models that adapters take, or that orders
+	// without an answer may take.
+	ReservedMB float64
 	// InUse counts the adapters that requests use; they can't make way.
 	InUse int
 	// InMemory and OnDisk are the models whose weights the host keeps outside the accelerator.
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -361,7 +361,7 @@
 	}
 	load := fleet.Load{
 		At: time.Now(), Born: m.Born, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Reading: m.Reading,
-		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk, InUse: m.InUse, Loading: m.Loading,
+		CacheUsed: m.CacheUsed, CacheTotal: m.Cache, Sequence: m.Sequence, Busy: m.Busy, InMemory: m.InMemory, OnDisk: m.OnDisk, InUse: m.InUse, Loading: m.Loading, ReservedMB: m.ReservedMB,
 	}
 	for _, x := range m.Models {
 		load.Models = append(load.Models, fleet.Resident{Model: x.Name, Version: x.Version, Adapters: x.Adapters})
--- a/internal/transport/desk/desk_test.go
+++ b/internal/transport/desk/desk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -69,6 +70,8 @@
 	// dropsAt is when accepted unloads take effect; until then their runs go on.
 	dropsAt time.Time
 	drops   []string
+	// crashes makes the engine restart at the next order to load a model, which gets no answer.
+	crashes bool
 }
 
 func (e *engine) Report(context.Context) (keep.Report, error) {
@@ -94,6 +97,11 @@
 	if o.Fence == 0 || o.Endpoint != e.id {
 		e.broken = append(e.broken, fmt.Sprintf("order with fence %d for endpoint %q", o.Fence, o.Endpoint))
 	}
+	if e.crashes && o.Name.Adapter == "" {
+		e.crashes, e.report.Sequence = false, 0
+		e.report.Born++
+		return keep.Unanswered, errors.New("no answer")
+	}
 	e.report.Sequence++
 	i := slices.IndexFunc(e.report.Models, func(r fleet.Resident) bool { return r.Model == o.Name.Model })
 	switch {
@@ -319,6 +327,28 @@
 	w.check(t)
 }
 
+// TestOrderWithoutAnswer plays an engine that restarts under its id at an order: its memory
+// may be taken by what comes late. The planner knows that and doesn't spend the weight
+// store's rate on orders that the keeper can't give.
+func TestOrderWithoutAnswer(t *testing.T) {
+	w := startTown(t, townConfig("a", "b", "c"), []string{"a"})
+	e := w.engines[0]
+	e.mu.Lock()
+	e.report.Sequence, e.crashes = 5, true
+	e.mu.Unlock()
+	until(t, "the engine restarted", func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return !e.crashes
+	})
+	time.Sleep(2 * time.Second)
+	w.desk.planner.mu.Lock()
+	defer w.desk.planner.mu.Unlock()
+	if n := w.desk.planner.lastID; n > 2 {
+		t.Errorf("%d orders for a keeper that has no room", n)
+	}
+}
+
 func TestMarksComeRound(t *testing.T) {
 	w := startTown(t, townConfig("a"), []string{"a"}, []string{"a"})
 	until(t, "a keeper has reported", func() bool {
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -415,11 +415,12 @@
 		}
 		for _, m := range s.Residents() {
 			h.Models = append(h.Models, m.Model)
-			h.AdapterMB += float64(len(m.Adapters)) * spec.Models[m.Model].AdapterMB
+			h.ReservedMB += float64(len(m.Adapters)) * spec.Models[m.Model].AdapterMB
 		}
 		if reported {
 			h.Models = append(h.Models, s.Load.Loading...)
 			h.Coming = slices.Clone(s.Load.Loading)
+			h.ReservedMB = max(h.ReservedMB, s.Load.ReservedMB)
 		}
 		h.Near = append(slices.Clone(s.Load.InMemory), s.Load.OnDisk...)
 		if u, ok := p.moves[s.ID]; ok {
--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -236,7 +236,9 @@
 			st.Loading = append(st.Loading, t.name.Model)
 		}
 	}
-	st.Begun = k.begunLately(now)
+	doubtful := situation{report: k.report, spec: k.spec, doubts: k.doubts, endpoint: st.Endpoint, now: now}
+	st.ReservedMB = doubtful.reserved()
+	st.Begun = k.begunLately(doubtful)
 	for n, at := range k.refused {
 		if now.Sub(at) > refusedFor {
 			delete(k.refused, n)
@@ -306,6 +308,9 @@
 
 func (k *Keeper) situation(now time.Time) situation {
 	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, born: k.bornAt, doubts: k.doubts, now: now}
+	if k.told {
+		s.endpoint = k.endpoint
+	}
 	for n, at := range k.wants {
 		_, whole := fleet.Holds(k.report.Models, n)
 		if now.Sub(at) > wantFor || whole {
@@ -362,7 +367,7 @@
 	case Unanswered:
 		if !o.Unload {
 			k.noteLoad(o.Name, now)
-			k.doubts = append(k.doubts, doubt{name: o.Name, sequence: o.Sequence, at: now})
+			k.doubts = append(k.doubts, doubt{name: o.Name, sequence: o.Sequence, at: now, endpoint: o.Endpoint})
 		}
 	case Rejected:
 		switch {
@@ -399,14 +404,13 @@
 
 // begunLately returns the ages of loads from the weight store, rounded so that the state
 // doesn't change all the time. A load whose order got no answer may begin yet.
-func (k *Keeper) begunLately(now time.Time) []time.Duration {
-	k.begun = slices.DeleteFunc(k.begun, func(at time.Time) bool { return now.Sub(at) > begunFor })
+func (k *Keeper) begunLately(s situation) []time.Duration {
+	k.begun = slices.DeleteFunc(k.begun, func(at time.Time) bool { return s.now.Sub(at) > begunFor })
 	var ages []time.Duration
 	for _, at := range k.begun {
-		ages = append(ages, now.Sub(at).Truncate(begunStep))
+		ages = append(ages, s.now.Sub(at).Truncate(begunStep))
 	}
-	s := situation{report: k.report, now: now}
-	for _, d := range k.doubts {
+	for _, d := range s.doubts {
 		if d.name.Adapter == "" && s.open(d) {
 			ages = append(ages, 0)
 		}
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -26,7 +26,9 @@
 	born    time.Time
 	// doubts are loads without an answer that may still be carried out.
 	doubts []doubt
-	now    time.Time
+	// endpoint is the id that the engine has said, or empty.
+	endpoint string
+	now      time.Time
 }
 
 // taken is an accepted order. An engine lists a model or adapter until the last run on it
@@ -79,6 +81,8 @@
 	name     fleet.Name
 	sequence int64
 	at       time.Time
+	// endpoint is the id that the order named; only an engine of that id carries it out.
+	endpoint string
 }
 
 // doubtFor is how long an order without an answer may still be carried out; the platform
@@ -234,11 +238,27 @@
 	return mb
 }
 
+// reserved returns the megabytes beside the weights of resident models that are taken or
+// may come to be taken.
+func (s situation) reserved() float64 {
+	if s.spec == nil {
+		return 0
+	}
+	mb := s.memory()
+	for _, r := range s.report.Models {
+		mb -= s.spec.Models[r.Model].WeightsMB
+	}
+	return mb
+}
+
 // open reports whether an order without an answer can still be carried out: it waits for
 // the engine to have accepted a number of orders that it hasn't passed yet. An order
-// that has that number from before a restart counts too. One that is about to be given
+// that has that number from before a restart under the same id counts too. One that is about to be given
 // has the current number, and of two such orders the engine takes only one.
 func (s situation) open(d doubt) bool {
+	if d.endpoint != "" && s.endpoint != "" && d.endpoint != s.endpoint {
+		return false
+	}
 	return s.now.Sub(d.at) < doubtFor && d.sequence > s.report.Sequence
 }
 
--- a/internal/transport/keep/next_test.go
+++ b/internal/transport/keep/next_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -98,6 +99,14 @@
 			},
 			moved{"no_room"},
 		},
+		{
+			"but not if it named the id that the engine had then",
+			situation{
+				report: holding(1, "a", "b"), move: &beat.Move{Load: "d"}, endpoint: "new",
+				doubts: []doubt{{name: names("c")[0], sequence: 4, at: ago(3 * time.Second), endpoint: "old"}},
+			},
+			load("d"),
+		},
 		{
 			"one that the engine can't accept any more takes no room",
 			situation{
@@ -146,12 +155,13 @@
 // lateEngine accepts an order only at its sequence and leaves some unanswered, which it
 // carries out later.
 type lateEngine struct {
+	id     string
 	report Report
 	late   []Order
 }
 
 func (e *lateEngine) do(o Order) bool {
-	if o.Sequence != e.report.Sequence {
+	if o.Sequence != e.report.Sequence || o.Endpoint != e.id {
 		return false
 	}
 	e.report.Sequence++
@@ -173,10 +183,10 @@
 	return out
 }
 
-func (e *lateEngine) restart() { e.report = holding(0) }
+func (e *lateEngine) restart(id string) { e.id, e.report = id, holding(0) }
 
 // TestLateOrdersNeverOverfill plays orders without answers that are carried out in any
-// order later, also after a restart.
+// order later, also after a restart under the same id or a new one.
 func TestLateOrdersNeverOverfill(t *testing.T) {
 	for seed := range 2000 {
 		rnd := uint64(seed)*0x9e3779b97f4a7c15 + 1
@@ -186,13 +196,13 @@
 			rnd ^= rnd << 17
 			return rnd % n
 		}
-		e := &lateEngine{report: holding(0, "a", "b")}
+		e := &lateEngine{id: "0", report: holding(0, "a", "b")}
 		s := situation{spec: testSpec, now: time.Unix(1000, 0)}
-		for range 60 {
+		for step := range 60 {
 			s.now = s.now.Add(200 * time.Millisecond)
 			switch draw(6) {
 			case 0:
-				e.restart()
+				e.restart([]string{e.id, strconv.Itoa(step)}[draw(2)])
 				s.taken = nil
 			case 1:
 				if len(e.late) > 0 {
@@ -200,7 +210,7 @@
 					e.late = e.late[1:]
 				}
 			}
-			s.report = e.report
+			s.report, s.endpoint = e.report, e.id
 			if s.move == nil {
 				s.move = &beat.Move{Load: string("abcd"[draw(4)])}
 				if draw(2) == 0 {
@@ -209,11 +219,11 @@
 			}
 			switch st := next(s).(type) {
 			case order:
-				o := Order{Unload: st.unload, Name: st.name, Sequence: e.report.Sequence}
+				o := Order{Unload: st.unload, Name: st.name, Sequence: e.report.Sequence, Endpoint: e.id}
 				if draw(3) == 0 {
 					e.late = append(e.late, o)
 					if !o.Unload {
-						s.doubts = append(s.doubts, doubt{name: o.Name, sequence: o.Sequence, at: s.now})
+						s.doubts = append(s.doubts, doubt{name: o.Name, sequence: o.Sequence, at: s.now, endpoint: o.Endpoint})
 					}
 				} else {
 					e.do(o)
