desk: demand is measured over one second rather than three

The mean of the demand had a half-life of 3 s, and loads there take 1.2 s.

Ruled out: the weight store's rate (2 loads a second allowed, fewer ordered) and the planner's threshold alone, as the work it saw was half of the real one.

Change: a half-life of 1 s.

TestDemandShift fails with 3 s.

--- a/internal/transport/desk/demand.go
+++ b/internal/transport/desk/demand.go
@@ -11,7 +11,7 @@
 const (
 	// demandHalfLife is the time in which demand loses half of its weight; demand moves
 	// to other models within seconds.
-	demandHalfLife = 3 * time.Second
+	demandHalfLife = time.Second
 	// readTime and madeTime are the endpoint time of a prompt token and of an output
 	// token in a batch.
 	readTime = 25 * time.Microsecond
--- /dev/null
+++ b/internal/transport/desk/demand_test.go
@@ -0,0 +1,79 @@
+package desk
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"chervilhead/internal/state/copies"
+	"chervilhead/internal/state/fleet"
+)
+
+// shiftTown is engines with three places for models each, one copy of every model, and a
+// demand meter, in virtual time.
+type shiftTown struct {
+	spec   *fleet.Engine
+	hosts  []copies.Host
+	demand *demand
+	now    time.Time
+}
+
+func newShiftTown(hosts, models int) *shiftTown {
+	w := &shiftTown{spec: &fleet.Engine{WeightsMB: 230, Models: map[string]fleet.Model{}}, demand: newDemand(), now: time.Unix(1000, 0)}
+	for i := range hosts {
+		w.hosts = append(w.hosts, copies.Host{ID: fmt.Sprintf("h%02d", i), Usable: true})
+	}
+	for i := range models {
+		n := fmt.Sprintf("m%02d", i)
+		w.spec.Models[n] = fleet.Model{Name: n, WeightsMB: 70}
+		h := &w.hosts[i%hosts]
+		h.Models = append(h.Models, n)
+	}
+	return w
+}
+
+// play asks for a model with some endpoint time a second, and decides every 0.15 s.
+func (w *shiftTown) play(model string, work float64, length time.Duration) {
+	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(planEvery) {
+		w.demand.add("s", model, int(work*planEvery.Seconds()/readTime.Seconds()), 0, w.now)
+		demand := map[string]copies.Demand{}
+		for _, m := range w.demand.list(w.now) {
+			demand[m.Model] = copies.Demand{Work: m.Work}
+		}
+		for {
+			m, ok := copies.Next(w.spec, w.hosts, demand, true)
+			if !ok {
+				break
+			}
+			i := slices.IndexFunc(w.hosts, func(h copies.Host) bool { return h.ID == m.Host })
+			h := &w.hosts[i]
+			h.Models = append(slices.DeleteFunc(h.Models, func(x string) bool { return slices.Contains(m.Drop, x) }), m.Load)
+		}
+	}
+}
+
+func (w *shiftTown) copies(model string) int {
+	n := 0
+	for _, h := range w.hosts {
+		if slices.Contains(h.Models, model) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDemandShift moves the demand of one and a half endpoints to a model with one copy, as
+// it moves in a day: within a few seconds, for some seconds. Callers of that model queue
+// until it has further copies, which must be on their way within a second and a half.
+func TestDemandShift(t *testing.T) {
+	w := newShiftTown(12, 24)
+	w.play("m00", 1.5, 10*time.Second)
+	if n := w.copies("m00"); n < 3 {
+		t.Fatalf("a busy model has %d copies", n)
+	}
+	w.play("m13", 1.5, 1500*time.Millisecond)
+	if n := w.copies("m13"); n < 2 {
+		t.Errorf("1.5 s after demand moved to a model it has %d copy", n)
+	}
+}
