keep: an engine restores models only while no planner gives it orders

Ruled out: the planner's own orders, which go to the engines with the least work.

Change: a keeper restores nothing once a planner has given an order since the engine's start.

The case "but not beside a planner that has given it orders" fails on the code before.

--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -307,7 +307,7 @@
 }
 
 func (k *Keeper) situation(now time.Time) situation {
-	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, born: k.bornAt, doubts: k.doubts, now: now}
+	s := situation{report: k.report, spec: k.spec, used: k.used, move: k.move, taken: k.taken, restore: k.restore, born: k.bornAt, planned: k.moveAt.After(k.bornAt), doubts: k.doubts, now: now}
 	if k.told {
 		s.endpoint = k.endpoint
 	}
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -24,6 +24,8 @@
 	// born is when the keeper saw that start.
 	restore []string
 	born    time.Time
+	// planned is set once a planner has given an order since that start.
+	planned bool
 	// doubts are loads without an answer that may still be carried out.
 	doubts []doubt
 	// endpoint is the id that the engine has said, or empty.
@@ -139,9 +141,10 @@
 const plannerFirst = 1200 * time.Millisecond
 
 // nextRestore loads what the engine held before, as far as the host still has its
-// weights: that takes less time than a planner needs to notice.
+// weights, while no planner gives orders. A planner that does knows what is asked for; an
+// engine rejects orders for adapters while it loads a model that isn't.
 func nextRestore(s situation) step {
-	if s.now.Sub(s.born) < plannerFirst {
+	if s.planned || s.now.Sub(s.born) < plannerFirst {
 		return idle{}
 	}
 	for _, m := range s.restore {
--- a/internal/transport/keep/next_test.go
+++ b/internal/transport/keep/next_test.go
@@ -142,6 +142,11 @@
 			situation{report: func() Report { r := holding(0); r.OnDisk = []string{"a"}; return r }(), restore: []string{"c", "a"}, born: ago(plannerFirst)},
 			load("a"),
 		},
+		{
+			"but not beside a planner that has given it orders",
+			situation{report: func() Report { r := holding(1, "b"); r.OnDisk = []string{"a"}; return r }(), restore: []string{"a"}, born: ago(plannerFirst), planned: true},
+			idle{},
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tc.s.spec, tc.s.now = testSpec, now
