copies: a busy model's copy makes no way for a model that few ask for

The planner gave the models without a copy one each, at the cost of three of the four copies of the model that became the busiest: its work was 2 to 3 endpoints, theirs 0.02 to 0.16. Five seconds of that model's requests went to one engine at 2 to 2.8 times its pace.

Ruled out: the routing; the copies left had their share.

Change: a first copy is placed only if it is worth more than what makes way, and competes with other moves by the difference. Requests that wait for a model raise its worth, so that it gets its copy soon if anybody asks.

The case "a busy model's copy doesn't make way" fails on the code before.

--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -119,7 +119,8 @@
 }
 
 // reach gives a model without a copy one, first those that requests wait for, and returns
-// what that is worth.
+// what that is worth beyond what makes way. A copy of a busy model doesn't make way for a
+// model that few ask for.
 func (p *plan) reach(far bool) (Move, float64, bool) {
 	var absent []string
 	for _, n := range p.names {
@@ -129,8 +130,8 @@
 	}
 	slices.SortStableFunc(absent, func(a, b string) int { return cmp.Compare(p.missing(b), p.missing(a)) })
 	for _, n := range absent {
-		if m, ok := p.place(n, far); ok {
-			return m, p.missing(n), true
+		if m, loss, ok := p.place(n, far); ok && p.missing(n) > loss {
+			return m, p.missing(n) - loss, true
 		}
 	}
 	return Move{}, 0, false
@@ -196,10 +197,11 @@
 	return p.demand[model].Work * p.load(model, extra)
 }
 
-// place finds the host for the first copy of a model.
-func (p *plan) place(model string, far bool) (Move, bool) {
+// place finds the host for the first copy of a model, and returns what is lost with the
+// copies that make way there.
+func (p *plan) place(model string, far bool) (Move, float64, bool) {
 	var best Move
-	least, found := 0.0, false
+	least, lost, found := 0.0, 0.0, false
 	for _, h := range p.hosts {
 		if !h.Usable || h.Leaving {
 			continue
@@ -217,10 +219,11 @@
 			cost += farGain
 		}
 		if !found || cost < least {
-			best, least, found = Move{Host: h.ID, Drop: drop, Load: model, Far: !near, Reason: "reach"}, cost, true
+			best = Move{Host: h.ID, Drop: drop, Load: model, Far: !near, Reason: "reach"}
+			least, lost, found = cost, loss, true
 		}
 	}
-	return best, found
+	return best, lost, found
 }
 
 // makeRoom returns the models that make way on a host, those that are missed least, and
--- a/internal/state/copies/decide_test.go
+++ b/internal/state/copies/decide_test.go
@@ -35,6 +35,10 @@
 	near[1].Near = []string{"m04"}
 	coming := slices.Clone(full)
 	coming[0].Coming = []string{"m00"}
+	busy := []Host{
+		{ID: "h0", Usable: true, Models: []string{"m00", "m01", "m02"}},
+		{ID: "h1", Usable: true, Models: []string{"m00", "m03", "m04"}},
+	}
 	for _, tc := range []struct {
 		name   string
 		spec   *fleet.Engine
@@ -49,6 +53,8 @@
 		{"a busy model pushes a surplus copy out", spec(6), full, map[string]Demand{"m04": {Work: 1.5}}, true, "h0 -[m00] +m04 far=true relieve"},
 		{"the host's own copy goes first", spec(6), near, map[string]Demand{"m04": {Work: 1.5}}, true, "h1 -[m00] +m04 far=false relieve"},
 		{"a last copy stays", spec(3), hosts(1, "m00", "m01", "m02"), map[string]Demand{"m00": {Work: 9}}, true, ""},
+		{"a busy model's copy doesn't make way for a model that few ask for", spec(6), busy, map[string]Demand{"m00": {Work: 2}, "m05": {Work: 0.02}}, true, ""},
+		{"but for one that many wait for", spec(6), busy, map[string]Demand{"m00": {Work: 2}, "m05": {Waiting: 6}}, true, "h0 -[m00] +m05 far=true reach"},
 		{"a copy on its way doesn't free the one that serves", spec(6), coming, map[string]Demand{"m04": {Work: 1.5}}, true, "h0 -[m01] +m04 far=true relieve"},
 		{"one that requests wait for goes first", spec(8), full, map[string]Demand{"m07": {Waiting: 2}, "m04": {Work: 0.7}}, true, "h0 -[m00] +m07 far=true reach"},
 		{"a busy one before one that nobody asks for", spec(7), full, map[string]Demand{"m04": {Work: 3}}, true, "h0 -[m00] +m04 far=true relieve"},
