copies: demand is at least the part of the places that requests hold

Ruled out: the loads (an order for the empty engine came 12 s late, and was carried out at once).

Change: gateways tell how many requests for a model endpoints have; copies.WithPlaces raises the work to the part of the endpoints' places that they hold.

--- a/internal/protocol/beat/beat.go
+++ b/internal/protocol/beat/beat.go
@@ -120,6 +120,8 @@
 	Work float64
 	// Waiting counts requests that no endpoint could take for want of the model.
 	Waiting int
+	// Running counts requests that endpoints have.
+	Running int
 }
 
 // Seen is what the planner's gateway read in the store just now.
--- a/internal/state/copies/decide.go
+++ b/internal/state/copies/decide.go
@@ -29,6 +29,23 @@
 	Work float64
 	// Waiting counts requests that wait for a first copy.
 	Waiting int
+	// Running counts requests that endpoints have.
+	Running int
+}
+
+// WithPlaces returns demand whose work is at least the part of the endpoints' places that
+// requests hold. It answers for requests with short prompts and long answers, whose tokens
+// cost little while they fill an endpoint, and for endpoints that are slower than thought.
+func WithPlaces(demand map[string]Demand, slots int) map[string]Demand {
+	if slots <= 0 {
+		return demand
+	}
+	out := make(map[string]Demand, len(demand))
+	for m, d := range demand {
+		d.Work = max(d.Work, float64(d.Running)/float64(slots))
+		out[m] = d
+	}
+	return out
 }
 
 // Move is one step: drop models of a host, then load one.
--- a/internal/state/copies/decide_test.go
+++ b/internal/state/copies/decide_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// TestWithPlaces plays requests with next to no prompt that fill the only copy of their
+// model while another endpoint is empty: the model gets a second copy.
+func TestWithPlaces(t *testing.T) {
+	list := []Host{{ID: "h0", Usable: true, Models: []string{"m00"}}, {ID: "h1", Usable: true}}
+	for running, want := range map[int]bool{1: false, 4: true} {
+		demand := WithPlaces(map[string]Demand{"m00": {Work: 0.01, Running: running}}, 4)
+		if m, ok := Next(spec(1), list, demand, true); ok != want || ok && m.Host != "h1" {
+			t.Errorf("%d of 4 places taken: moves %v %+v", running, ok, m)
+		}
+	}
+}
+
 // TestFollowsDemand plays a shift: four models are busy, the others are asked for rarely.
 // Every model keeps a copy, and no copy of a busy one carries more than twice the mean.
 func TestFollowsDemand(t *testing.T) {
--- a/internal/transport/desk/demand.go
+++ b/internal/transport/desk/demand.go
@@ -27,6 +27,7 @@
 	sum     float64
 	at      time.Time
 	waiting int
+	running int
 }
 
 // demand measures what is asked for at one gateway.
@@ -77,6 +78,18 @@
 	}
 }
 
+// run counts a request that is at an endpoint until the returned function is called.
+func (d *demand) run(service, model string) func() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.meter(modelKey{service, model}, time.Now()).running++
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.meter(modelKey{service, model}, time.Now()).running--
+	}
+}
+
 // list returns the demand for each model.
 func (d *demand) list(now time.Time) []beat.ModelDemand {
 	d.mu.Lock()
@@ -86,11 +99,11 @@
 		m := d.meter(k, now)
 		// The weighted sum of a constant rate is the rate times the mean age.
 		work := m.sum * math.Ln2 / demandHalfLife.Seconds()
-		if work < noDemand && m.waiting == 0 {
+		if work < noDemand && m.waiting == 0 && m.running == 0 {
 			delete(d.meters, k)
 			continue
 		}
-		out = append(out, beat.ModelDemand{Service: k.service, Model: k.model, Work: work, Waiting: m.waiting})
+		out = append(out, beat.ModelDemand{Service: k.service, Model: k.model, Work: work, Waiting: m.waiting, Running: m.running})
 	}
 	return out
 }
--- a/internal/transport/desk/desk.go
+++ b/internal/transport/desk/desk.go
@@ -458,6 +458,10 @@
 	d.demand.add(service, model, read, made, time.Now())
 }
 
+// Running notes that an endpoint has a request for a model until the returned function is
+// called.
+func (d *Desk) Running(service, model string) func() { return d.demand.run(service, model) }
+
 // Crowded notes that a request for a model found no place for itself or its adapter.
 func (d *Desk) Crowded(service, model string) { d.demand.crowded(service, model, time.Now()) }
 
--- a/internal/transport/desk/planner.go
+++ b/internal/transport/desk/planner.go
@@ -299,7 +299,7 @@
 			continue
 		}
 		loads := p.loads[name].WithRate(now, svc.Engine.LoadsPerSecond*loadShare)
-		demand := p.total(name, now)
+		demand := copies.WithPlaces(p.total(name, now), svc.Engine.Slots)
 		begun, waiting := p.starts(name, reports)
 		starts := copies.Starts{Rate: svc.Engine.LoadsPerSecond, Window: p.desk.cfg.LoadWindow}
 		for range maxMoves {
@@ -373,6 +373,7 @@
 				d := out[m.Model]
 				d.Work += m.Work
 				d.Waiting += m.Waiting
+				d.Running += m.Running
 				out[m.Model] = d
 			}
 		}
--- a/internal/transport/pass/handler.go
+++ b/internal/transport/pass/handler.go
@@ -32,6 +32,9 @@
 	// Asked notes demand: a request for a model whose prompt has so many tokens to read
 	// and whose answer so many tokens to make.
 	Asked(service, model string, read, made int)
+	// Running notes that an endpoint has a request for a model until the returned function
+	// is called.
+	Running(service, model string) (ended func())
 	// Crowded notes that a request for a model found no place for itself or its adapter.
 	Crowded(service, model string)
 	// Suspect tells the other gateways of a request that may crash endpoints.
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -266,6 +266,9 @@
 func (h *Handler) attempt(c *call, e fleet.Endpoint) verdict {
 	first, end := h.track.begin(e, c.req, c.choice.Unread)
 	defer end()
+	if c.req.Name.Model != "" {
+		defer h.fleet.Running(c.req.Service, c.req.Name.Model)()
+	}
 	hd := h.cfg.Names.request(c.in.Header)
 	left := time.Until(c.limit)
 	hd.Set(h.cfg.Names.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
