platform/stub: the stand-in's formats and its store lie with the adapter

Cause: internal/standin/stand spelled names of the wire (rows, registrations, reports, orders, configuration) outside platform/, against the rule that what speaks to the platform lies in one folder.

Change: platform/stub holds the store with its faults and the formats; endpoints' behaviour, clients, ledger and proxies stay and use its types.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chervilhead/internal/standin/stand"
+	"chervilhead/platform/stub"
 )
 
 // kind is a kind of fault.
@@ -81,11 +82,11 @@
 	switch e.kind {
 	case storeFault:
 		d := s.doors[e.which%len(s.doors)]
-		f := []stand.Fault{stand.Silent, stand.Refusing, stand.Resetting, stand.Losing, stand.Slow, stand.Late}[e.how%6]
+		f := []stub.Fault{stub.Silent, stub.Refusing, stub.Resetting, stub.Losing, stub.Slow, stub.Late}[e.how%6]
 		done := s.note(&s.storeHarm)
 		d.Set(f)
 		time.Sleep(e.last)
-		d.Set(stand.Well)
+		d.Set(stub.Well)
 		done()
 	case wayHarm:
 		p := s.town.Proxies[e.which%len(s.town.Proxies)]
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilhead/internal/standin/stand"
+	"chervilhead/platform/stub"
 )
 
 const (
@@ -94,7 +95,7 @@
 	default:
 		call.Route = s.town.Route("talk")
 	}
-	if call.Route.Kind == stand.KindStream {
+	if call.Route.Kind == stub.KindStream {
 		call.Deadline = streamDeadline
 		// The first models are asked for most.
 		call.Model = stand.Models[min(r.IntN(len(stand.Models)), r.IntN(len(stand.Models)))]
@@ -117,7 +118,7 @@
 	switch res.Outcome {
 	case stand.Broken:
 		// A stream whose endpoint broke off can't end whole; a plain request gets an answer.
-		spoilt := call.Route.Kind == stand.KindStream && (l.Spoilt(res.ID) || s.wrong(&s.wayHarm, began.Add(-time.Second), now))
+		spoilt := call.Route.Kind == stub.KindStream && (l.Spoilt(res.ID) || s.wrong(&s.wayHarm, began.Add(-time.Second), now))
 		if sound && !spoilt {
 			l.Violation("LOST", "request %s (%s) at %s ended without a whole answer after %v: %s", res.ID, call.Route.Name, g.name, now.Sub(began), res.Detail)
 		}
@@ -150,7 +151,7 @@
 			const asks = 6
 			for range asks {
 				call := stand.Call{Gateway: g.callers, Route: s.town.Route(route), Path: "y", Deadline: streamDeadline}
-				if call.Route.Kind == stand.KindStream {
+				if call.Route.Kind == stub.KindStream {
 					call.Model = stand.Models[0]
 				}
 				if res := c.Do(call); res.Outcome == stand.Served {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,6 +11,7 @@
 
 	"chervilhead/internal/config"
 	"chervilhead/internal/standin/stand"
+	"chervilhead/platform/stub"
 )
 
 // The town's bounds, those of the platform's contract.
@@ -55,7 +56,7 @@
 type soak struct {
 	cfg      Settings
 	town     *stand.Town
-	doors    []*stand.Door
+	doors    []*stub.Door
 	gateways []*proc
 	keepers  []*proc
 
@@ -200,7 +201,7 @@
 	return nil
 }
 
-func store(d *stand.Door) config.Store {
+func store(d *stub.Door) config.Store {
 	return config.Store{
 		Address: d.Address, Timeout: 700 * time.Millisecond, ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, LeaseTerm: 4 * time.Second,
 	}
--- a/internal/standin/stand/client.go
+++ b/internal/standin/stand/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"chervilhead/platform"
+	"chervilhead/platform/stub"
 )
 
 // Caller is one client with a connection to each gateway that it uses.
@@ -44,7 +45,7 @@
 // Call is one attempt of a client.
 type Call struct {
 	Gateway string
-	Route   Route
+	Route   stub.Route
 	// Path is added to the route's prefix.
 	Path     string
 	Model    string
@@ -104,7 +105,7 @@
 func (c *Caller) Do(call Call) Result {
 	res := Result{ID: fmt.Sprintf("r%08x-%d", rand.Uint32(), callNumber.Add(1))}
 	target := call.Route.Prefix + call.Path
-	c.ledger.ask(res.ID, &ask{method: http.MethodPost, target: target, model: call.Model, body: call.Body, once: call.Route.Kind == KindOnce})
+	c.ledger.ask(res.ID, &ask{method: http.MethodPost, target: target, model: call.Model, body: call.Body, once: call.Route.Kind == stub.KindOnce})
 	conn, kept, err := c.conn(call.Gateway)
 	if err != nil {
 		return res.with(NotSent, err.Error())
--- a/internal/standin/stand/endpoint.go
+++ b/internal/standin/stand/endpoint.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilhead/platform"
+	"chervilhead/platform/stub"
 )
 
 // Mishap is what an endpoint does wrong with a request.
@@ -49,14 +50,14 @@
 	// Mishaps is the share of requests that go wrong.
 	Mishaps float64
 	// Engine is set for endpoints with models, Holds names those that it holds at its start.
-	Engine *Engine
+	Engine *stub.Engine
 	Holds  []string
 }
 
 // Endpoint is an endpoint of the platform.
 type Endpoint struct {
 	cfg    EndpointSettings
-	store  *Store
+	store  *stub.Store
 	ledger *Ledger
 	names  names
 
@@ -64,7 +65,7 @@
 	life  int
 	id    string
 	born  int64
-	state string
+	state stub.State
 	// leftAt is when the endpoint said that it leaves.
 	leftAt  time.Time
 	srv     *http.Server
@@ -84,7 +85,7 @@
 }
 
 // NewEndpoint returns an endpoint that isn't started.
-func NewEndpoint(cfg EndpointSettings, s *Store, l *Ledger) *Endpoint {
+func NewEndpoint(cfg EndpointSettings, s *stub.Store, l *Ledger) *Endpoint {
 	return &Endpoint{cfg: cfg, store: s, ledger: l, names: headerNames()}
 }
 
@@ -111,7 +112,7 @@
 		e.cfg.Registered = e.cfg.Listen
 	}
 	e.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(e.cfg.Registered), e.life)
-	e.born, e.state, e.cancel, e.leftAt = time.Now().UnixMilli(), "ready", cancel, time.Time{}
+	e.born, e.state, e.cancel, e.leftAt = time.Now().UnixMilli(), stub.Ready, cancel, time.Time{}
 	e.waiting, e.running = 0, 0
 	if e.cfg.Engine != nil {
 		e.model = newModelState(e.cfg.Engine, e.cfg.Holds, e.ledger)
@@ -141,13 +142,13 @@
 	e.mu.Unlock()
 	_ = srv.Close()
 	e.wg.Wait()
-	time.AfterFunc(3*e.cfg.Heartbeat, func() { e.store.remove(serversTable, id) })
+	time.AfterFunc(3*e.cfg.Heartbeat, func() { e.store.Unregister(id) })
 }
 
 // Drain says that the endpoint leaves, serves on for a time and ends.
 func (e *Endpoint) Drain(d time.Duration) {
 	e.mu.Lock()
-	e.state = "draining"
+	e.state = stub.Leaving
 	id := e.id
 	e.mu.Unlock()
 	e.write()
@@ -156,12 +157,12 @@
 	e.mu.Unlock()
 	time.Sleep(d)
 	e.Kill()
-	e.store.remove(serversTable, id)
+	e.store.Unregister(id)
 }
 
 func (e *Endpoint) register(ctx context.Context) {
 	for {
-		sleep(ctx, e.cfg.Heartbeat)
+		stub.Sleep(ctx, e.cfg.Heartbeat)
 		if ctx.Err() != nil {
 			return
 		}
@@ -172,18 +173,13 @@
 func (e *Endpoint) write() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	row := map[string]any{
-		"service": e.cfg.Service, "address": e.cfg.Registered, "zone": e.cfg.Zone, "slots": e.cfg.Slots, "state": e.state,
-		"born": e.born, "sequence": 0, "version": 1,
+	r := stub.Registration{
+		Service: e.cfg.Service, Address: e.cfg.Registered, Zone: e.cfg.Zone, Slots: e.cfg.Slots, State: e.state, Born: e.born, Version: 1,
 	}
 	if e.model != nil {
-		row["sequence"], row["models"] = e.model.sequence(), e.model.list()
+		r.Sequence, r.Models = e.model.sequence(), e.model.list()
 	}
-	data, err := json.Marshal(row)
-	if err != nil {
-		panic(fmt.Sprintf("a registration does not encode: %v", err))
-	}
-	e.store.put(serversTable, e.id, data)
+	e.store.Register(e.id, r)
 }
 
 func (e *Endpoint) handler() http.Handler {
@@ -252,7 +248,7 @@
 		e.stream(w, r, id, m)
 		return
 	}
-	sleep(r.Context(), e.cfg.Work)
+	stub.Sleep(r.Context(), e.cfg.Work)
 	e.answer(w, r, id, m)
 }
 
@@ -277,7 +273,7 @@
 	defer func() { e.waiting--; e.mu.Unlock() }()
 	for e.running >= e.cfg.Slots && ctx.Err() == nil {
 		e.mu.Unlock()
-		sleep(ctx, 5*time.Millisecond)
+		stub.Sleep(ctx, 5*time.Millisecond)
 		e.mu.Lock()
 	}
 	if ctx.Err() != nil {
@@ -331,7 +327,7 @@
 		_, _ = io.WriteString(conn, head(id)+string(body[:len(body)/2]))
 	case Garbles:
 		_, _ = io.WriteString(conn, head(id)+string(body)+"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
-		sleep(r.Context(), 20*time.Millisecond)
+		stub.Sleep(r.Context(), 20*time.Millisecond)
 	case Echoes:
 		_, _ = io.WriteString(conn, head("other-"+id)+string(body)+head(id)+string(body))
 	case Fine, Fails:
@@ -360,7 +356,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for n := from + 1; n <= e.cfg.Events; n++ {
-		sleep(r.Context(), e.cfg.Gap)
+		stub.Sleep(r.Context(), e.cfg.Gap)
 		if r.Context().Err() != nil || m == Breaks && n == from+e.cfg.Events/2 {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/standin/stand/models.go
+++ b/internal/standin/stand/models.go
@@ -1,22 +1,23 @@
 package stand
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"chervilhead/platform/stub"
 )
 
 // modelState is what an engine holds and the orders that it carries out.
 type modelState struct {
-	spec   *Engine
+	spec   *stub.Engine
 	ledger *Ledger
 
 	mu     sync.Mutex
 	seq    int64
-	models []resident
+	models []stub.Resident
 	// busy is when the load under way ends, loading what it loads.
 	busy    time.Time
 	loading string
@@ -26,16 +27,10 @@
 	inHost []string
 }
 
-type resident struct {
-	Name     string   `json:"name"`
-	Version  int      `json:"version"`
-	Adapters []string `json:"adapters"`
-}
-
-func newModelState(spec *Engine, holds []string, l *Ledger) *modelState {
+func newModelState(spec *stub.Engine, holds []string, l *Ledger) *modelState {
 	m := &modelState{spec: spec, ledger: l}
 	for _, n := range holds {
-		m.models = append(m.models, resident{Name: n, Version: 1, Adapters: []string{}})
+		m.models = append(m.models, stub.Resident{Name: n, Version: 1, Adapters: []string{}})
 		m.inHost = append(m.inHost, n)
 	}
 	return m
@@ -44,7 +39,7 @@
 // settle ends a load whose time is over; the caller holds mu.
 func (m *modelState) settle() {
 	if m.loading != "" && !time.Now().Before(m.busy) {
-		m.models = append(m.models, resident{Name: m.loading, Version: 1, Adapters: []string{}})
+		m.models = append(m.models, stub.Resident{Name: m.loading, Version: 1, Adapters: []string{}})
 		if !slices.Contains(m.inHost, m.loading) {
 			m.inHost = append(m.inHost, m.loading)
 		}
@@ -58,11 +53,11 @@
 	return m.seq
 }
 
-func (m *modelState) list() []resident {
+func (m *modelState) list() []stub.Resident {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.settle()
-	out := make([]resident, 0, len(m.models))
+	out := make([]stub.Resident, 0, len(m.models))
 	for _, r := range m.models {
 		r.Adapters = slices.Clone(r.Adapters)
 		out = append(out, r)
@@ -80,27 +75,20 @@
 	return false
 }
 
-func (m *modelState) report(born int64, state string, waiting, running int) any {
+func (m *modelState) report(born int64, state stub.State, waiting, running int) stub.Report {
 	list := m.list()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return map[string]any{
-		"models": list, "busy": m.loading != "", "sequence": m.seq, "waiting": waiting, "running": running, "kvUsed": 0, "kvTotal": m.spec.CacheTokens,
-		"state": state, "born": born, "pending": []string{}, "runs": [][]any{}, "available": map[string]any{"inMemory": m.inHost, "onDisk": []string{}},
+	return stub.Report{
+		Models: list, Busy: m.loading != "", Sequence: m.seq, Waiting: waiting, Running: running, CacheTokens: m.spec.CacheTokens,
+		State: state, Born: born, Pending: []string{}, Runs: [][]any{}, Available: stub.Available{InMemory: m.inHost, OnDisk: []string{}},
 	}
 }
 
 // order carries out an order; it returns true if the engine crashes of it.
 func (m *modelState) order(w http.ResponseWriter, r *http.Request) bool {
-	var o struct {
-		Op       string `json:"op"`
-		Model    string `json:"model"`
-		Adapter  string `json:"adapter"`
-		Sequence *int64 `json:"precondition"`
-		Holder   string `json:"holder"`
-		Fence    uint64 `json:"fencingToken"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Holder == "" || o.Fence == 0 {
+	o, err := stub.ReadOrder(r.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return false
 	}
@@ -114,7 +102,7 @@
 		m.ledger.Violation("ONE", "fencing token %d after %d", o.Fence, m.fence)
 	}
 	m.holder, m.fence = o.Holder, o.Fence
-	i := slices.IndexFunc(m.models, func(r resident) bool { return r.Name == o.Model })
+	i := slices.IndexFunc(m.models, func(r stub.Resident) bool { return r.Name == o.Model })
 	switch {
 	case m.loading != "", o.Sequence != nil && *o.Sequence != m.seq:
 		w.WriteHeader(http.StatusConflict)
@@ -125,13 +113,13 @@
 	}
 	m.seq++
 	switch {
-	case o.Op == "loading" && o.Adapter != "":
+	case o.Op == stub.Load && o.Adapter != "":
 		m.models[i].Adapters = append(m.models[i].Adapters, o.Adapter)
-	case o.Op == "loading" && i < 0:
+	case o.Op == stub.Load && i < 0:
 		m.loading, m.busy = o.Model, time.Now().Add(m.loadTime(o.Model))
-	case o.Op == "unloading" && o.Adapter != "":
+	case o.Op == stub.Unload && o.Adapter != "":
 		m.models[i].Adapters = slices.DeleteFunc(m.models[i].Adapters, func(a string) bool { return a == o.Adapter })
-	case o.Op == "unloading" && i >= 0:
+	case o.Op == stub.Unload && i >= 0:
 		m.models = slices.Delete(m.models, i, i+1)
 	}
 	if mb, adapters := m.memory(); mb > m.spec.WeightsMB || adapters > m.spec.AdapterSlots {
--- a/internal/standin/stand/town.go
+++ b/internal/standin/stand/town.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chervilhead/platform/stub"
 )
 
 // The names in a town's configuration.
@@ -35,7 +37,7 @@
 
 // Town is a small deployment's outside: store, endpoints and clients' view of both.
 type Town struct {
-	Store     *Store
+	Store     *stub.Store
 	Ledger    *Ledger
 	Plain     []*Endpoint
 	Engines   []*Endpoint
@@ -46,7 +48,7 @@
 	KeeperHosts []string
 
 	mu     sync.Mutex
-	config Config
+	config stub.Config
 }
 
 // Models are the models of a town; each engine has room for three.
@@ -54,23 +56,23 @@
 
 // NewTown starts a town.
 func NewTown(cfg TownSettings) (*Town, error) {
-	t := &Town{Store: NewStore(), Ledger: NewLedger()}
-	spec := &Engine{Slots: 8, CacheTokens: 100_000, WeightsMB: 330, AdapterSlots: 4, LoadsPerS: 4}
+	t := &Town{Store: stub.NewStore(), Ledger: NewLedger()}
+	spec := &stub.Engine{Slots: 8, CacheTokens: 100_000, WeightsMB: 330, AdapterSlots: 4, LoadsPerS: 4}
 	for _, m := range Models {
-		spec.Models = append(spec.Models, Model{Name: m, WeightsMB: 100, AdapterMB: 1, Adapters: 8, LoadS: 0.4, WarmS: 0.1, DiskS: 0.2})
+		spec.Models = append(spec.Models, stub.Model{Name: m, WeightsMB: 100, AdapterMB: 1, Adapters: 8, LoadS: 0.4, WarmS: 0.1, DiskS: 0.2})
 	}
-	t.config = Config{
-		Version: 1, Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderMS: 5000, IdleMS: 30_000},
-		Services: []Service{
+	t.config = stub.Config{
+		Version: 1, Limits: stub.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderMS: 5000, IdleMS: 30_000},
+		Services: []stub.Service{
 			{Name: plainService, HealthPath: "/healthz", MaxConns: 100},
 			{Name: otherService, HealthPath: "/healthz", MaxConns: 100},
 			{Name: modelService, HealthPath: "/healthz", MaxConns: 100, Engine: spec},
 		},
-		Routes: []Route{
-			{Name: "get", Prefix: "/get/", Kind: KindRepeatable, TimeoutMS: 2000, TargetMS: 300, Service: plainService, Attempts: 3},
-			{Name: "post", Prefix: "/post/", Kind: KindOnce, TimeoutMS: 2000, TargetMS: 300, Service: plainService, Attempts: 1},
-			{Name: "chat", Prefix: "/chat/", Kind: KindStream, TimeoutMS: 6000, TargetMS: 500, GapMS: 300, Service: modelService, Attempts: 3, Resumable: true},
-			{Name: "talk", Prefix: "/talk/", Kind: KindStream, TimeoutMS: 6000, TargetMS: 500, GapMS: 300, Service: modelService, Attempts: 1},
+		Routes: []stub.Route{
+			{Name: "get", Prefix: "/get/", Kind: stub.KindRepeatable, TimeoutMS: 2000, TargetMS: 300, Service: plainService, Attempts: 3},
+			{Name: "post", Prefix: "/post/", Kind: stub.KindOnce, TimeoutMS: 2000, TargetMS: 300, Service: plainService, Attempts: 1},
+			{Name: "chat", Prefix: "/chat/", Kind: stub.KindStream, TimeoutMS: 6000, TargetMS: 500, GapMS: 300, Service: modelService, Attempts: 3, Resumable: true},
+			{Name: "talk", Prefix: "/talk/", Kind: stub.KindStream, TimeoutMS: 6000, TargetMS: 500, GapMS: 300, Service: modelService, Attempts: 1},
 		},
 	}
 	for i := range t.config.Routes {
@@ -176,7 +178,7 @@
 }
 
 // Route returns a route of the configuration.
-func (t *Town) Route(name string) Route {
+func (t *Town) Route(name string) stub.Route {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range t.config.Routes {
@@ -184,7 +186,7 @@
 			return r
 		}
 	}
-	return Route{}
+	return stub.Route{}
 }
 
 // AddRoute writes a new version of the configuration with one more route, whose name it returns.
@@ -193,8 +195,8 @@
 	defer t.mu.Unlock()
 	t.config.Version += 3
 	name := "new" + strconv.FormatUint(t.config.Version, 10)
-	t.config.Routes = append(t.config.Routes[:len(t.config.Routes):len(t.config.Routes)], Route{
-		Name: name, Host: TownHost, Prefix: "/" + name + "/", Kind: KindRepeatable, TimeoutMS: 2000, TargetMS: 300, Service: otherService, Attempts: 3,
+	t.config.Routes = append(t.config.Routes[:len(t.config.Routes):len(t.config.Routes)], stub.Route{
+		Name: name, Host: TownHost, Prefix: "/" + name + "/", Kind: stub.KindRepeatable, TimeoutMS: 2000, TargetMS: 300, Service: otherService, Attempts: 3,
 	})
 	t.Store.Configure(t.config)
 	return name
