pass: a request whose client would leave before the first event is refused at once

Requests were refused only if the whole answer took longer than their time, up to 15 s; under bursts others waited at engines until their clients left, whose prompts had been read for nobody.

Ruled out: estimates alone; they are up to three times too long under load, so that the bound is on the safe side of the client's patience only by measurement.

Change: a first attempt whose estimate goes beyond Route.Patience is refused, to come back after a quarter of its time.

TestQueueBeyondPatience fails on the code before.

--- a/internal/transport/pass/pass_test.go
+++ b/internal/transport/pass/pass_test.go
@@ -372,6 +372,36 @@
 	}
 }
 
+// TestQueueBeyondPatience plays an endpoint whose queue takes longer than the client waits
+// for a first event, though not than it waits for the whole answer: the request is refused
+// at once and may come back. A shorter queue takes it.
+func TestQueueBeyondPatience(t *testing.T) {
+	e := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+		startStream(c, r)
+		chunk(c, event(1))
+		chunk(c, "")
+	})
+	g := startGateway(t, fleet.Stream, false, e)
+	v := *g.view.Load()
+	v.Config = fleet.NewConfig(2, []fleet.Route{{
+		Name: "r", Host: "test.example", Prefix: "/a/", Kind: fleet.Stream, Timeout: 15 * time.Second, Objective: 500 * time.Millisecond, GapObjective: 400 * time.Millisecond,
+		MaxAttempts: 1, Targets: []fleet.Target{{Service: "s", Weight: 1}},
+	}}, []fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: 64, Models: map[string]fleet.Model{"m": {Name: "m"}}}}}, fleet.Limits{})
+	g.view.Store(&v)
+	for reading, want := range map[int]int{10: 200, 200: 503} {
+		st := []fleet.State{(*g.states.Load())[0]}
+		st[0].Reported, st[0].Load = true, fleet.Load{At: time.Now(), Alive: true, Reading: reading, Models: []fleet.Resident{{Model: "m"}}}
+		g.states.Store(&st)
+		a, err := g.ask(t.Context(), t, "POST", "/a/x", map[string]string{"Test-Request": fmt.Sprint("id-", reading), "Test-Deadline": "15000"}, "p")
+		if err != nil || a.status != want || (want == 503) != (a.header.Get("Retry-After") != "") {
+			t.Errorf("%d prompts before it: answer %+v, error %v; want status %d", reading, a, err, want)
+		}
+	}
+	if n := e.runs.Load(); n != 1 {
+		t.Errorf("%d runs, want 1", n)
+	}
+}
+
 // TestNoModelInTime asks for a model whose load takes longer than the request has: it is
 // refused at once, and told when the load can have ended.
 func TestNoModelInTime(t *testing.T) {
--- a/internal/transport/pass/serve.go
+++ b/internal/transport/pass/serve.go
@@ -140,7 +140,7 @@
 	if c.tries == 0 && len(c.req.Tried) == 0 && c.req.Name.Model != "" {
 		h.fleet.Asked(service.Name, c.req.Name.Model, ch.Unread, c.req.Output)
 	}
-	if left := time.Until(c.limit); ch.Whole(c.req.Output) > left && c.tries == 0 {
+	if left := time.Until(c.limit); c.tries == 0 && (ch.Whole(c.req.Output) > left || h.tooLong(c, ch)) {
 		h.refuse(c, "too_late", left/comeBackPart)
 		return ended{}
 	}
@@ -154,6 +154,12 @@
 	return send{st}
 }
 
+// tooLong reports whether the client would leave before the first event.
+func (h *Handler) tooLong(c *call, ch pick.Choice) bool {
+	patience := c.route.Patience()
+	return patience > 0 && time.Since(c.began)+ch.Estimate > patience
+}
+
 // noPlace notes that an endpoint had no place for the request's adapter.
 func (h *Handler) noPlace(c *call, e fleet.Endpoint) {
 	c.req.Tried = append(c.req.Tried, e.ID)
