agent, entry: no timer for a wait of nothing

The trace ends in a select on a timer that is due at once (agent.pause with 0), in a synctest bubble. The runtime keeps one race context for all timers of a bubble, and the thread that selects on a due timer uses it, so that two threads use it at once.

Ruled out: the product's own memory; no race is reported, and a program of twenty lines without any of it fails.

Change: a pause of nothing, and a next attempt without backoff, make no timer.

--- a/internal/transport/agent/resume.go
+++ b/internal/transport/agent/resume.go
@@ -107,6 +107,9 @@
 
 // pause waits and reports whether the context is still valid.
 func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/transport/entry/dispatch.go
+++ b/internal/transport/entry/dispatch.go
@@ -142,6 +142,9 @@
 	case retry.Again:
 		wait = d.Wait
 	}
+	if wait <= 0 {
+		return true
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
