--- a/internal/transport/keep/keeper.go
+++ b/internal/transport/keep/keeper.go
@@ -236,9 +236,8 @@
 			st.Loading = append(st.Loading, t.name.Model)
 		}
 	}
-	doubtful := situation{report: k.report, spec: k.spec, doubts: k.doubts, endpoint: st.Endpoint, now: now}
-	st.ReservedMB = doubtful.reserved()
-	st.Begun = k.begunLately(doubtful)
+	s := situation{report: k.report, spec: k.spec, doubts: k.doubts, endpoint: st.Endpoint, now: now}
+	st.ReservedMB, st.Begun = s.reserved(), k.begunLately(s)
 	for n, at := range k.refused {
 		if now.Sub(at) > refusedFor {
 			delete(k.refused, n)
--- a/internal/transport/keep/next.go
+++ b/internal/transport/keep/next.go
@@ -256,8 +256,8 @@
 
 // open reports whether an order without an answer can still be carried out: it waits for
 // the engine to have accepted a number of orders that it hasn't passed yet. An order
-// that has that number from before a restart under the same id counts too. One that is about to be given
-// has the current number, and of two such orders the engine takes only one.
+// that has that number from before a restart under the same id counts too. One that is
+// about to be given has the current number, and of two such orders the engine takes only one.
 func (s situation) open(d doubt) bool {
 	if d.endpoint != "" && s.endpoint != "" && d.endpoint != s.endpoint {
 		return false
