watch: log the era and version behind each belief about the store

'configuration in force' says the era, the version and whether the read was a full one; a new line says that the store was restored, with the version that the read went on from; another one that a long poll was restarted. No decision changes.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -14,8 +14,11 @@
 
 // ConfigChange is the store's answer to a read of the configuration.
 type ConfigChange struct {
-	// Version is the store's version that the answer reflects.
-	Version uint64
+	// Version is the store's version that the answer reflects, Era the number of restores of
+	// the store from a copy before it.
+	Version, Era uint64
+	// Full means that the answer does not build on the version that was passed.
+	Full bool
 	// Config is the newest configuration if Changed is set.
 	Config  fleet.Config
 	Changed bool
@@ -25,7 +28,9 @@
 
 // EndpointChange is the store's answer to a read of the endpoints.
 type EndpointChange struct {
-	Version uint64
+	// Version is the store's version that the answer reflects, Era the number of restores of
+	// the store from a copy before it.
+	Version, Era uint64
 	// Full means that Endpoints lists all endpoints.
 	Full        bool
 	Endpoints   []fleet.Endpoint
@@ -126,10 +131,12 @@
 func (w *Watcher) followConfig(ctx context.Context) {
 	var version uint64
 	outage := outageLog{name: "configuration", log: w.log}
+	eras := eraLog{name: "configuration", log: w.log}
 	for ctx.Err() == nil {
 		asked := time.Now()
 		ch, err := w.readConfig(ctx, version)
 		if errors.Is(err, errReadRestarted) {
+			w.logRestart(time.Since(asked))
 			continue
 		}
 		outage.record(ctx, err)
@@ -137,6 +144,7 @@
 			sleep(ctx, w.timing.RetryDelay)
 			continue
 		}
+		eras.record(ch.Era, version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, err := range ch.DecodeErrors {
 			w.log.WithError(err).Error("a configuration could not be decoded; the previous one stays in force")
@@ -146,7 +154,7 @@
 			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
 				return
 			}
-			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version}).Info("configuration in force")
+			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "era": ch.Era, "version": ch.Version, "full": ch.Full}).Info("configuration in force")
 			v.Config, v.HasConfig = ch.Config, true
 		})
 		if ch.Changed || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
@@ -157,12 +165,21 @@
 	}
 }
 
+// logRestart logs that a read of the configuration was cancelled after a time.
+func (w *Watcher) logRestart(after time.Duration) {
+	w.mu.Lock()
+	observed := w.restartedFor
+	w.mu.Unlock()
+	w.log.WithFields(logrus.Fields{"config": w.View().Config.Version, "observed": observed, "open_ms": after.Milliseconds()}).Info("the configuration is read anew: other processes have a newer one, or no longer confirm this one")
+}
+
 func (w *Watcher) followEndpoints(ctx context.Context) {
 	var version uint64
 	var reg registry
 	began := time.Now()
 	loggedRows := map[string]bool{}
 	outage := outageLog{name: "endpoints", log: w.log}
+	eras := eraLog{name: "endpoints", log: w.log}
 	for ctx.Err() == nil {
 		ch, err := w.src.Endpoints(ctx, version)
 		outage.record(ctx, err)
@@ -170,6 +187,7 @@
 			sleep(ctx, w.timing.RetryDelay)
 			continue
 		}
+		eras.record(ch.Era, version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, r := range ch.InvalidRows {
 			// Log once per row, not once per heartbeat.
@@ -245,6 +263,22 @@
 	}
 }
 
+// eraLog logs each restore of the store that an answer shows.
+type eraLog struct {
+	name string
+	era  uint64
+	log  *logrus.Entry
+}
+
+// record takes the era and version of an answer to a read after a version; full means that the
+// answer does not build on that version.
+func (l *eraLog) record(era, after, version uint64, full bool) {
+	if after != 0 && era != l.era {
+		l.log.WithFields(logrus.Fields{"what": l.name, "era": era, "before": l.era, "version": version, "after": after, "full": full}).Warn("the store was restored from a copy")
+	}
+	l.era = era
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
