platform: versions of the store that rise across a restore

Cause: a gateway goes on from the store's version of its last read. A store that is restored from a copy counts anew from the copy's counter and passes that version within seconds, after which the read is answered (not with 410) and leaves out every change that was written below it. Class: a position in a history that is used in another history.

As the era is part of the version, whoever compares or keeps versions (observations of the planner, a keeper's fencing token) is ordered across restores too.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -17,7 +18,8 @@
 // it can postpone its next read.
 type Observation struct {
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
-	StoreVersion, EndpointsDigest uint64
+	StoreVersion    store.Version
+	EndpointsDigest uint64
 	// ConfigVersion is the version of the configuration, which the store confirmed at ConfigConfirmedAt.
 	ConfigVersion     uint64
 	ConfigConfirmedAt time.Time
@@ -69,7 +71,7 @@
 // returns the registry with the time of the last matching observation, and the version to
 // read from. After a matching observation that is 0, all registrations, because the changes
 // up to the observed version were not read here.
-func (w *Watcher) waitForRead(ctx context.Context, reg registry, version uint64, pause time.Duration) (registry, uint64) {
+func (w *Watcher) waitForRead(ctx context.Context, reg registry, version store.Version, pause time.Duration) (registry, store.Version) {
 	start := time.Now()
 	limit := start.Add(max(pause, w.timing.OwnReadInterval))
 	due := start.Add(pause)
@@ -104,7 +106,7 @@
 // readConfig waits for a change of the configuration. While other processes confirm the
 // current version the long poll may last OwnReadInterval. It is cancelled, because its
 // connection may be dead, once they observe a newer version or stop confirming this one.
-func (w *Watcher) readConfig(ctx context.Context, version uint64) (ConfigChange, error) {
+func (w *Watcher) readConfig(ctx context.Context, version store.Version) (ConfigChange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	w.mu.Lock()
--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -21,7 +22,7 @@
 	mu        sync.Mutex
 	endpoints []fleet.Endpoint
 	// changeVersion is the version of the last change of the endpoints.
-	changeVersion uint64
+	changeVersion store.Version
 	// gone lists the endpoints that the last change removed.
 	gone    []string
 	config  uint64
@@ -37,9 +38,11 @@
 	return &fakeStore{began: time.Now(), endpoints: endpointList("a", "b"), config: 1, changed: make(chan struct{})}
 }
 
-func (s *fakeStore) version() uint64 { return 10 + uint64(time.Since(s.began)/(100*time.Millisecond)) }
+func (s *fakeStore) version() store.Version {
+	return 10 + store.Version(time.Since(s.began)/(100*time.Millisecond))
+}
 
-func (s *fakeStore) Config(ctx context.Context, after uint64, wait time.Duration) (ConfigChange, error) {
+func (s *fakeStore) Config(ctx context.Context, after store.Version, wait time.Duration) (ConfigChange, error) {
 	s.mu.Lock()
 	s.configReads++
 	changed, silent, news := s.changed, s.silent, s.configPending
@@ -66,7 +69,7 @@
 	return ConfigChange{Version: s.version(), Config: fleet.NewConfig(s.config, nil, nil, fleet.Limits{}), Changed: true}, nil
 }
 
-func (s *fakeStore) Endpoints(_ context.Context, after uint64) (EndpointChange, error) {
+func (s *fakeStore) Endpoints(_ context.Context, after store.Version) (EndpointChange, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endpointReads++
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -9,14 +9,14 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/fleet"
 )
 
 // ConfigChange is the store's answer to a read of the configuration.
 type ConfigChange struct {
-	// Version is the store's version that the answer reflects, Era the number of restores of
-	// the store from a copy before it.
-	Version, Era uint64
+	// Version is the store's version that the answer reflects.
+	Version store.Version
 	// Full means that the answer does not build on the version that was passed.
 	Full bool
 	// Config is the newest configuration if Changed is set.
@@ -28,9 +28,8 @@
 
 // EndpointChange is the store's answer to a read of the endpoints.
 type EndpointChange struct {
-	// Version is the store's version that the answer reflects, Era the number of restores of
-	// the store from a copy before it.
-	Version, Era uint64
+	// Version is the store's version that the answer reflects.
+	Version store.Version
 	// Full means that Endpoints lists all endpoints.
 	Full        bool
 	Endpoints   []fleet.Endpoint
@@ -48,9 +47,9 @@
 type Source interface {
 	// Config returns the configuration if it changed after a version; it waits up to
 	// wait for a change. Version 0 returns the newest at once.
-	Config(ctx context.Context, after uint64, wait time.Duration) (ConfigChange, error)
+	Config(ctx context.Context, after store.Version, wait time.Duration) (ConfigChange, error)
 	// Endpoints returns the registrations that changed after a version; version 0 returns all.
-	Endpoints(ctx context.Context, after uint64) (EndpointChange, error)
+	Endpoints(ctx context.Context, after store.Version) (EndpointChange, error)
 }
 
 // Timing sets how often the store is read.
@@ -75,7 +74,8 @@
 	ConfigConfirmedAt, EndpointsConfirmedAt time.Time
 	Endpoints                               map[string]fleet.Endpoint
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
-	StoreVersion, EndpointsDigest uint64
+	StoreVersion    store.Version
+	EndpointsDigest uint64
 	// EndpointsUncertain is set while Endpoints may include some that the store no longer lists.
 	EndpointsUncertain bool
 }
@@ -129,9 +129,9 @@
 }
 
 func (w *Watcher) followConfig(ctx context.Context) {
-	var version uint64
+	var version store.Version
 	outage := outageLog{name: "configuration", log: w.log}
-	eras := eraLog{name: "configuration", log: w.log}
+	restores := restoreLog{name: "configuration", log: w.log}
 	for ctx.Err() == nil {
 		asked := time.Now()
 		ch, err := w.readConfig(ctx, version)
@@ -144,7 +144,7 @@
 			sleep(ctx, w.timing.RetryDelay)
 			continue
 		}
-		eras.record(ch.Era, version, ch.Version, ch.Full)
+		restores.record(version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, err := range ch.DecodeErrors {
 			w.log.WithError(err).Error("a configuration could not be decoded; the previous one stays in force")
@@ -154,7 +154,7 @@
 			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
 				return
 			}
-			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "era": ch.Era, "version": ch.Version, "full": ch.Full}).Info("configuration in force")
+			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full}).Info("configuration in force")
 			v.Config, v.HasConfig = ch.Config, true
 		})
 		if ch.Changed || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
@@ -174,12 +174,12 @@
 }
 
 func (w *Watcher) followEndpoints(ctx context.Context) {
-	var version uint64
+	var version store.Version
 	var reg registry
 	began := time.Now()
 	loggedRows := map[string]bool{}
 	outage := outageLog{name: "endpoints", log: w.log}
-	eras := eraLog{name: "endpoints", log: w.log}
+	restores := restoreLog{name: "endpoints", log: w.log}
 	for ctx.Err() == nil {
 		ch, err := w.src.Endpoints(ctx, version)
 		outage.record(ctx, err)
@@ -187,7 +187,7 @@
 			sleep(ctx, w.timing.RetryDelay)
 			continue
 		}
-		eras.record(ch.Era, version, ch.Version, ch.Full)
+		restores.record(version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, r := range ch.InvalidRows {
 			// Log once per row, not once per heartbeat.
@@ -263,20 +263,18 @@
 	}
 }
 
-// eraLog logs each restore of the store that an answer shows.
-type eraLog struct {
+// restoreLog logs each restore of the store from a copy that an answer shows.
+type restoreLog struct {
 	name string
-	era  uint64
 	log  *logrus.Entry
 }
 
-// record takes the era and version of an answer to a read after a version; full means that the
-// answer does not build on that version.
-func (l *eraLog) record(era, after, version uint64, full bool) {
-	if after != 0 && era != l.era {
-		l.log.WithFields(logrus.Fields{"what": l.name, "era": era, "before": l.era, "version": version, "after": after, "full": full}).Warn("the store was restored from a copy")
+// record takes the version of an answer to a read after a version; full means that the answer
+// does not build on that version.
+func (l *restoreLog) record(after, version store.Version, full bool) {
+	if after != 0 && after.Era() != version.Era() {
+		l.log.WithFields(logrus.Fields{"what": l.name, "version": version.String(), "after": after.String(), "full": full}).Warn("the store was restored from a copy")
 	}
-	l.era = era
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"chervilhead/internal/coordination/store"
 )
 
 // MaxBytes bounds a datagram, so that it fits one packet of a local network with room to spare.
@@ -133,7 +135,8 @@
 // store, or that it has resigned.
 type PlannerStatus struct {
 	// StoreVersion is the store's version, EndpointsDigest the digest of the endpoints at it.
-	StoreVersion, EndpointsDigest uint64
+	StoreVersion    store.Version
+	EndpointsDigest uint64
 	// ConfigVersion is the version of the configuration; ConfigConfirmedAge is the time since
 	// the store last confirmed that this version is the current one.
 	ConfigVersion      uint64
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -124,11 +124,11 @@
 
 type staticSource struct{ cfg fleet.Config }
 
-func (s staticSource) Config(context.Context, uint64, time.Duration) (watch.ConfigChange, error) {
+func (s staticSource) Config(context.Context, store.Version, time.Duration) (watch.ConfigChange, error) {
 	return watch.ConfigChange{Version: 5, Config: s.cfg, Changed: true}, nil
 }
 
-func (s staticSource) Endpoints(context.Context, uint64) (watch.EndpointChange, error) {
+func (s staticSource) Endpoints(context.Context, store.Version) (watch.EndpointChange, error) {
 	return watch.EndpointChange{}, nil
 }
 
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -141,7 +141,7 @@
 	if k.fencingToken == 0 {
 		// The store's version never decreases, so this keeper's token is higher than that
 		// of a keeper that ran before it.
-		k.fencingToken = ch.Version
+		k.fencingToken = uint64(ch.Version)
 	}
 	k.log.WithFields(logrus.Fields{"config": ch.Config.Version, "models": len(s.Engine.Models), "fence": k.fencingToken}).Info("the engine's configuration was read")
 }
