watch: a long poll that others have overtaken starts over from nothing

What another process has seen can't be found by going on from a version that it may not share. After such a cancel the configuration is read in full, one call that is answered at once.

TestObservedConfigBelowOwnVersion failed before ('version 1 is in force 0.8 s after another process had version 2') and passes; the budget of calls in TestObservationsReplaceReads is unchanged.

--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -253,6 +253,20 @@
 	})
 }
 
+// TestObservedConfigBelowOwnVersion guards against a long poll for a change that the store assigned a lower version than the last read's.
+func TestObservedConfigBelowOwnVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := newFakeStore()
+		p := startPair(t, own)
+		own.locked(func() { own.config = 2 })
+		p.store.locked(func() { p.store.config = 2; close(p.store.changed); p.store.changed = make(chan struct{}) })
+		time.Sleep(800 * time.Millisecond)
+		if v := p.observer.View().Config.Version; v != 2 {
+			t.Errorf("version %d is in force 0.8 s after another process had version 2", v)
+		}
+	})
+}
+
 func TestEndpointsDigest(t *testing.T) {
 	base := map[string]fleet.Endpoint{"a": {ID: "a", Service: "s", Address: "x"}, "b": {ID: "b"}}
 	sum := endpointsDigest(base)
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -137,6 +137,8 @@
 		ch, err := w.readConfig(ctx, version)
 		if errors.Is(err, errReadRestarted) {
 			w.logRestart(time.Since(asked))
+			// The change may be older than the version read last, if the store was restored.
+			version = 0
 			continue
 		}
 		outage.record(ctx, err)
