soak: restores of the store from a copy

A restore now takes a copy, adds a route that the copy lacks, lets the store come back for each process at a time of its own, writes the configuration again and checks that every undisturbed gateway serves that route 5 s later. Restores are drawn from a sequence of their own, so that the other faults of the kept seeds stay as they were.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,14 +26,16 @@
 	powerLoss
 	newRoute
 	historyDrop
+	// faultKindCount ends the kinds that schedule draws; storeRestore has a schedule of its own.
 	faultKindCount
+	storeRestore
 )
 
 // String returns the kind's name in reports.
 func (k faultKind) String() string {
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
-		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop",
+		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore",
 	}[k]
 }
 
@@ -137,6 +139,8 @@
 		s.env.AddRoute()
 	case historyDrop:
 		s.env.Store.DropHistory()
+	case storeRestore:
+		s.restoreStore(e)
 	case faultKindCount:
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +45,8 @@
 	InjectionDuration                 time.Duration
 	Gateways, PlainEndpoints, Engines int
 	Clients                           int
+	// Restores adds restores of the store from a copy to the faults.
+	Restores bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -91,6 +95,10 @@
 	}
 	rep := Report{Seed: cfg.Seed}
 	events := schedule(cfg.Seed, cfg.InjectionDuration)
+	if cfg.Restores {
+		events = append(events, scheduleRestores(cfg.Seed, cfg.InjectionDuration)...)
+		slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
+	}
 	if cfg.DisableFaults {
 		events = nil
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,14 +44,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Run("seed_"+f[0], func(t *testing.T) { runSeed(t, bin, seed, length) })
+		t.Run("seed_"+f[0], func(t *testing.T) { runSeed(t, bin, seed, length, f[2] == "+restores") })
 	}
 }
 
-func runSeed(t *testing.T, bin string, seed uint64, length time.Duration) {
+func runSeed(t *testing.T, bin string, seed uint64, length time.Duration, restores bool) {
 	t.Helper()
 	rep, err := Run(t.Context(), Settings{
-		Binary: bin, Dir: filepath.Join(t.TempDir(), "soak"), Seed: seed, InjectionDuration: length, Gateways: 3, PlainEndpoints: 4, Engines: 2, Clients: 12,
+		Binary: bin, Dir: filepath.Join(t.TempDir(), "soak"), Seed: seed, InjectionDuration: length, Gateways: 3, PlainEndpoints: 4, Engines: 2, Clients: 12, Restores: restores,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -104,3 +104,22 @@
 		}
 	}
 }
+
+func TestScheduleRestores(t *testing.T) {
+	count := 0
+	for seed := range uint64(40) {
+		list := scheduleRestores(seed, 20*time.Second)
+		if !slices.Equal(list, scheduleRestores(seed, 20*time.Second)) {
+			t.Fatalf("seed %d gave two different schedules", seed)
+		}
+		count += len(list)
+		for _, e := range list {
+			if e.kind != storeRestore || e.duration < minFaultDuration || e.duration > maxFaultDuration {
+				t.Errorf("seed %d: not a restore or its duration is out of bounds: %s", seed, e)
+			}
+		}
+	}
+	if count < 40 {
+		t.Errorf("%d restores in 40 seeds of 20 s", count)
+	}
+}
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -134,6 +134,13 @@
 	return e.cfg.ListenAddress
 }
 
+// ID returns the id of the endpoint's newest incarnation.
+func (e *Endpoint) ID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id
+}
+
 // Kill ends the incarnation at once; its registration lapses after three heartbeat intervals.
 func (e *Endpoint) Kill() {
 	e.mu.Lock()
--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,7 @@
 	// KeeperPort is the keepers' port, KeeperHosts the addresses of the engines' hosts.
 	KeeperPort  int
 	KeeperHosts []string
+	heartbeat   time.Duration
 
 	mu     sync.Mutex
 	config stub.Config
@@ -58,7 +60,7 @@
 
 // New starts an environment; Close stops it.
 func New(cfg Settings) (*Environment, error) {
-	env := &Environment{Store: stub.NewStore(), Checker: NewChecker()}
+	env := &Environment{Store: stub.NewStore(), Checker: NewChecker(), heartbeat: cfg.HeartbeatInterval}
 	spec := &stub.Engine{Slots: 8, CacheTokens: 100_000, WeightsMB: 330, AdapterSlots: 4, LoadsPerS: 4}
 	for _, m := range Models {
 		spec.Models = append(spec.Models, stub.Model{Name: m, WeightsMB: 100, AdapterMB: 1, Adapters: 8, LoadS: 0.4, WarmS: 0.1, DiskS: 0.2})
@@ -205,6 +207,31 @@
 	return name
 }
 
+// RestoreStore replaces the store's content by that of a backup. Registrations of endpoints
+// that ended since then lapse again, as those of endpoints that fall silent do.
+func (env *Environment) RestoreStore(b stub.Backup) {
+	env.Store.Restore(b)
+	time.AfterFunc(3*env.heartbeat, func() {
+		live := map[string]bool{}
+		for _, e := range slices.Concat(env.PlainEndpoints, env.EngineEndpoints) {
+			live[e.ID()] = true
+		}
+		for _, id := range env.Store.Registrations() {
+			if !live[id] {
+				env.Store.Unregister(id)
+			}
+		}
+	})
+}
+
+// RewriteConfig writes the newest version of the configuration once more, as operators do
+// after the store lost it.
+func (env *Environment) RewriteConfig() {
+	env.mu.Lock()
+	defer env.mu.Unlock()
+	env.Store.Configure(env.config)
+}
+
 // Close stops the endpoints and proxies.
 func (env *Environment) Close() {
 	for _, p := range env.Proxies {
