proxy: log and count the rate limits that endpoints name

Endpoints that had named a limit got more requests than it allows, and no line or metric said what a gateway knew of a limit, so that the hypotheses (not read, kept by each gateway alone, requests on their way) could not be told apart by logs.

A line says when a limit is named, changed, withdrawn or not readable, with the number of gateways; a counter counts these by service. No decision changes: the incident's behaviour is as it was.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -300,6 +300,7 @@
 		return h.requestFailed(c, e, err)
 	}
 	defer resp.Close()
+	h.recordRateLimit(e, resp)
 	if resp.Header.Get(h.cfg.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		if id := resp.Header.Get(h.cfg.Headers.InstanceID); id != "" && id != e.ID {
 			// Another endpoint has taken the address over; the registration is outdated.
--- a/internal/transport/proxy/headers.go
+++ b/internal/transport/proxy/headers.go
@@ -27,6 +27,9 @@
 	ExpectInstance string
 	// InstanceID holds the id of the endpoint that responds.
 	InstanceID string
+	// RateLimit holds, in an endpoint's answers, the requests a second that it takes from all
+	// gateways together; without it there is no limit.
+	RateLimit string
 	// Priority holds the request's priority at an engine; 0 goes first.
 	Priority    string
 	LastEventID string
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -13,6 +13,7 @@
 type Metrics struct {
 	requests         *prometheus.CounterVec
 	timeToFirstEvent *prometheus.HistogramVec
+	rateLimits       *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -25,8 +26,11 @@
 			Name: "chervilhead_gateway_first_seconds", Help: "Time to the first event or the whole plain answer, in seconds.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"kind"}),
+		rateLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilhead_gateway_rate_limits_total", Help: "Rate limits that endpoints named, withdrew or gave in an unreadable form, by service.",
+		}, []string{"service", "event"}),
 	}
-	reg.MustRegister(m.requests, m.timeToFirstEvent)
+	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits)
 	return m
 }
 
--- /dev/null
+++ b/internal/transport/proxy/ratelimit.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/protocol/http1"
+	"chervilhead/internal/state/fleet"
+)
+
+// rateLimit is the rate of requests that an endpoint takes from all gateways together.
+type rateLimit struct {
+	named bool
+	// perSecond counts requests a second.
+	perSecond float64
+}
+
+var errInvalidRateLimit = errors.New("a rate limit is a decimal number of requests a second, not below 0")
+
+// parseRateLimit decodes the field of an endpoint's answer; an empty one names no limit.
+func parseRateLimit(text string) (rateLimit, error) {
+	if text == "" {
+		return rateLimit{}, nil
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return rateLimit{}, fmt.Errorf("%w: %.40q", errInvalidRateLimit, text)
+	}
+	return rateLimit{named: true, perSecond: v}, nil
+}
+
+// recordRateLimit records the rate limit that an endpoint's answer names or no longer names.
+func (h *Handler) recordRateLimit(e fleet.Endpoint, resp *http1.Response) {
+	if id := resp.Header.Get(h.cfg.Headers.InstanceID); id != "" && id != e.ID {
+		// Another endpoint has taken the address over and speaks for itself.
+		return
+	}
+	limit, err := parseRateLimit(resp.Header.Get(h.cfg.Headers.RateLimit))
+	if err != nil {
+		if h.tracker.firstInvalidRateLimit(e) {
+			h.metrics.rateLimits.WithLabelValues(e.Service, "unreadable").Inc()
+			h.log.WithError(err).WithField("endpoint", e.ID).Warn("the rate limit of an endpoint is not readable; the one before stays in force")
+		}
+		return
+	}
+	before := h.tracker.setRateLimit(e, limit)
+	if before == limit {
+		return
+	}
+	fields := logrus.Fields{"endpoint": e.ID, "service": e.Service, "limit": limit.perSecond, "before": before.perSecond, "gateways": h.control.GatewayCount()}
+	if limit.named {
+		h.metrics.rateLimits.WithLabelValues(e.Service, "named").Inc()
+		h.log.WithFields(fields).Info("an endpoint limits the rate of its requests")
+		return
+	}
+	h.metrics.rateLimits.WithLabelValues(e.Service, "withdrawn").Inc()
+	h.log.WithFields(fields).Info("an endpoint no longer limits the rate of its requests")
+}
+
+// setRateLimit replaces the rate limit of an endpoint incarnation and returns the one before.
+func (t *tracker) setRateLimit(e fleet.Endpoint, limit rateLimit) rateLimit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoint(e)
+	before := r.rateLimit
+	r.rateLimit = limit
+	return before
+}
+
+// firstInvalidRateLimit reports whether an unreadable rate limit is the first of an endpoint
+// incarnation.
+func (t *tracker) firstInvalidRateLimit(e fleet.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoint(e)
+	first := !r.invalidRateLimit
+	r.invalidRateLimit = true
+	return first
+}
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -43,6 +43,10 @@
 	// prefilledPrefixes are the shared prompt prefixes prefilled since the last takePrefilledPrefixes.
 	prefilledPrefixes []uint64
 	lastUse           time.Time
+	// rateLimit is what the endpoint's last readable answer named; invalidRateLimit is set
+	// once an answer wasn't readable.
+	rateLimit        rateLimit
+	invalidRateLimit bool
 }
 
 const (
