--- a/internal/standin/testbed/checker.go
+++ b/internal/standin/testbed/checker.go
@@ -20,6 +20,8 @@
 	arrivals []Arrival
 	// faulted holds the requests with an injected endpoint fault.
 	faulted map[string]bool
+	// rateLimits holds the limits that endpoints named, by their id.
+	rateLimits map[string][]rateLimit
 }
 
 // Arrival is a request's arrival at an endpoint.
@@ -29,10 +31,14 @@
 	Repeated bool
 	// DrainingFor is the time since the endpoint announced that it drains, 0 if it didn't.
 	DrainingFor time.Duration
+	// Gateway is the address to which the client sent the request, Endpoint the id of the
+	// endpoint.
+	Gateway, Endpoint string
 }
 
 // sentRequest is one request of a client as it was sent, and what became of it.
 type sentRequest struct {
+	gateway                     string
 	method, target, model, body string
 	once                        bool
 	arrived                     bool
@@ -43,7 +49,7 @@
 
 // NewChecker returns a checker without records.
 func NewChecker() *Checker {
-	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}}
+	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}, rateLimits: map[string][]rateLimit{}}
 }
 
 // Arrivals returns the arrivals in their order.
@@ -60,12 +66,12 @@
 	return c.faulted[id]
 }
 
-func (c *Checker) addArrival(id string, drainingFor time.Duration) {
+func (c *Checker) addArrival(id, endpoint string, drainingFor time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := Arrival{At: time.Now(), DrainingFor: drainingFor}
+	a := Arrival{At: time.Now(), DrainingFor: drainingFor, Endpoint: endpoint}
 	if q, ok := c.requests[id]; ok {
-		a.Repeated = q.arrived
+		a.Repeated, a.Gateway = q.arrived, q.gateway
 		q.arrived = true
 	}
 	c.arrivals = append(c.arrivals, a)
--- a/internal/standin/testbed/client.go
+++ b/internal/standin/testbed/client.go
@@ -105,7 +105,7 @@
 func (c *Client) Do(req Request) Result {
 	res := Result{ID: fmt.Sprintf("r%08x-%d", rand.Uint32(), requestNumber.Add(1))}
 	target := req.Route.Prefix + req.Path
-	c.checker.addRequest(res.ID, &sentRequest{method: http.MethodPost, target: target, model: req.Model, body: req.Body, once: req.Route.Kind == stub.KindOnce})
+	c.checker.addRequest(res.ID, &sentRequest{gateway: req.Gateway, method: http.MethodPost, target: target, model: req.Model, body: req.Body, once: req.Route.Kind == stub.KindOnce})
 	conn, reused, err := c.conn(req.Gateway)
 	if err != nil {
 		return res.with(OutcomeNotSent, err.Error())
@@ -148,6 +148,7 @@
 		return res
 	}
 	defer resp.Body.Close()
+	c.checker.addToldRateLimit(req.Gateway, resp.Header, c.headers)
 	res.Status, res.ConnClose = resp.StatusCode, resp.Close
 	body, err := io.ReadAll(resp.Body)
 	switch {
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -69,20 +69,24 @@
 	state       stub.State
 	// drainingSince is when the endpoint's registration first said that it drains.
 	drainingSince time.Time
-	srv           *http.Server
-	cancel        context.CancelFunc
-	waiting       int
-	running       int
-	model         *modelState
-	wg            sync.WaitGroup
+	// rateLimit is the limit of requests a second that answers name, or empty.
+	rateLimit string
+	srv       *http.Server
+	cancel    context.CancelFunc
+	waiting   int
+	running   int
+	model     *modelState
+	wg        sync.WaitGroup
 }
 
 // headerNames are the names of the platform's header fields.
-type headerNames struct{ id, model, instance, expectInstance, notRun, signature, deadline, lastEvent string }
+type headerNames struct {
+	id, model, instance, expectInstance, notRun, signature, deadline, lastEvent, rateLimit string
+}
 
 func newHeaderNames() headerNames {
 	h := platform.Headers()
-	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID}
+	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID, h.RateLimit}
 }
 
 // NewEndpoint returns an endpoint that hasn't been started.
@@ -113,7 +117,7 @@
 		e.cfg.RegisteredAddress = e.cfg.ListenAddress
 	}
 	e.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(e.cfg.RegisteredAddress), e.incarnation)
-	e.startMillis, e.state, e.cancel, e.drainingSince = time.Now().UnixMilli(), stub.StateReady, cancel, time.Time{}
+	e.startMillis, e.state, e.cancel, e.drainingSince, e.rateLimit = time.Now().UnixMilli(), stub.StateReady, cancel, time.Time{}, ""
 	e.waiting, e.running = 0, 0
 	if e.cfg.Engine != nil {
 		e.model = newModelState(e.cfg.Engine, e.cfg.InitialModels, e.checker)
@@ -141,6 +145,18 @@
 	return e.id
 }
 
+// LimitRate makes the endpoint's answers name a limit of requests a second until its
+// incarnation ends; 0 withdraws it.
+func (e *Endpoint) LimitRate(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = ""
+	if perSecond > 0 {
+		e.rateLimit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+	}
+	e.checker.setRateLimit(e.id, perSecond)
+}
+
 // Kill ends the incarnation at once; its registration lapses after three heartbeat intervals.
 func (e *Endpoint) Kill() {
 	e.mu.Lock()
@@ -193,6 +209,11 @@
 func (e *Endpoint) handler() http.Handler {
 	id, model := e.id, e.model
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		if e.rateLimit != "" {
+			w.Header().Set(e.headers.rateLimit, e.rateLimit)
+		}
+		e.mu.Unlock()
 		switch {
 		case r.URL.Path == "/healthz":
 			w.Header().Set(e.headers.instance, id)
@@ -241,7 +262,7 @@
 		e.reject(w, r, http.StatusMisdirectedRequest)
 		return
 	}
-	e.checker.addArrival(id, e.drainingFor())
+	e.checker.addArrival(id, self, e.drainingFor())
 	if !e.acquireSlot(r.Context()) {
 		e.reject(w, r, http.StatusServiceUnavailable)
 		return
@@ -328,8 +349,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
+	limit := ""
+	if v := w.Header().Get(e.headers.rateLimit); v != "" {
+		limit = e.headers.rateLimit + ": " + v + "\r\n"
+	}
 	head := func(id string) string {
-		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", e.headers.id, id, e.headers.signature, sign(id, body), len(body))
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n", e.headers.id, id, e.headers.signature, sign(id, body), limit, len(body))
 	}
 	switch f {
 	case EndpointFaultTruncate:
