proxy: endpoints that name a rate limit get no more than that from all gateways

Endpoints that had named a limit of one request a second got twelve in four seconds and more, from gateways that they had told.

Cause: the limit in an endpoint's answers was not read. What a gateway believes of an endpoint came from registrations, keepers and its own measurements; what an endpoint asks for in its answers had no place in the choice.

The limit belongs to all gateways together, which don't see each other's requests. Each keeps its share (state/pace): the limit divided by the number of gateways, at a random phase.

The wait for the next turn is part of an endpoint's cost, so that others are preferred. A request takes its turn when the endpoint is chosen, waits for it if that is short, and is otherwise rejected at once with the time of the turn; the planner learns that the model lacks capacity. An endpoint that leaves during the wait is not sent the request.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -54,6 +54,9 @@
 	// CachedTokens is the number of leading prompt tokens in the endpoint's prefix cache.
 	CachedTokens int
 	Health       health.Record
+	// RateWait is the time until this gateway's share of the endpoint's rate limit allows
+	// another request, 0 if it does now or there is no limit.
+	RateWait time.Duration
 }
 
 // LatencyModel holds the parameters of the latency estimates.
@@ -80,13 +83,15 @@
 	PrefillTokens, BacklogTokens int
 	// BacklogTime is the time to prefill the backlog.
 	BacklogTime time.Duration
+	// RateWait is the wait for the endpoint's rate limit, which precedes Estimate.
+	RateWait time.Duration
 }
 
 // TimeToLastToken returns the estimated time to the last of a number of output tokens. While
 // prompts are prefilled, one chunk precedes each output token; as much prefill is assumed to
 // arrive during the run as is queued now.
 func (c Choice) TimeToLastToken(output int) time.Duration {
-	return c.Estimate + time.Duration(output)*decodeStep + min(time.Duration(output)*prefillChunkStep, 2*c.BacklogTime)
+	return c.RateWait + c.Estimate + time.Duration(output)*decodeStep + min(time.Duration(output)*prefillChunkStep, 2*c.BacklogTime)
 }
 
 // The terms of an estimate, and the costs that are added to it to compare endpoints.
@@ -162,6 +167,8 @@
 		} else {
 			ch, cost = scoreEngine(req, c, m, now, adapterSlots, home)
 		}
+		ch.RateWait = c.RateWait
+		cost += c.RateWait
 		if n == 1 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
@@ -185,6 +192,10 @@
 	if c.State.KeeperSilent && c.Prefilling >= maxSilentPrefills {
 		return false
 	}
+	if c.RateWait > 0 && len(req.Tried) > 0 {
+		// A retry has no time left to wait.
+		return false
+	}
 	if req.ModelName.Model == "" {
 		return true
 	}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -47,7 +47,11 @@
 
 type (
 	// dispatch means that the request goes to an endpoint.
-	dispatch struct{ state fleet.State }
+	dispatch struct {
+		state fleet.State
+		// allowedAt is when the endpoint's rate limit allows the request.
+		allowedAt time.Time
+	}
 	// chooseAgain means that endpoint states may have changed and the choice is repeated.
 	chooseAgain struct{}
 	// responded means that the client has its response.
@@ -77,6 +81,7 @@
 	var last attemptFailed
 	for c.attempts < maxAttempts && time.Until(c.deadline) >= minTimeLeft && c.ctx.Err() == nil {
 		var e fleet.Endpoint
+		var allowedAt time.Time
 		switch step := h.choose(c, service).(type) {
 		case chooseAgain:
 			continue
@@ -87,7 +92,7 @@
 			h.giveUp(c, last)
 			return
 		case dispatch:
-			e = step.state.Endpoint
+			e, allowedAt = step.state.Endpoint, step.allowedAt
 		}
 		if c.choice.LoadAdapter {
 			if err := h.loadAdapter(c, e); err != nil {
@@ -97,6 +102,9 @@
 				continue
 			}
 		}
+		if !h.awaitRateLimit(c, e, allowedAt) {
+			continue
+		}
 		c.attempts++
 		switch res := h.attempt(c, e).(type) {
 		case attemptDone:
@@ -121,7 +129,8 @@
 		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
 	}
 	now := time.Now()
-	candidates := h.tracker.candidates(h.control.States(), slots, c.req, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
+	gateways := h.control.GatewayCount()
+	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
 	ch, ok := pick.Best(c.req, candidates, h.tracker.latencyModel(service.Name, c.req.ModelName.Model), now, adapterSlots, h.draw)
 	switch {
 	case ok:
@@ -138,27 +147,39 @@
 		return chooseAgain{}
 	}
 	c.choice = ch
-	if c.attempts == 0 && len(c.req.Tried) == 0 && c.req.ModelName.Model != "" {
+	if !c.demandRecorded && len(c.req.Tried) == 0 && c.req.ModelName.Model != "" {
+		c.demandRecorded = true
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, ch.PrefillTokens, c.req.OutputTokens)
 	}
-	if left := time.Until(c.deadline); c.attempts == 0 && (ch.TimeToLastToken(c.req.OutputTokens) > left || h.exceedsIdleTimeout(c, ch)) {
+	left := time.Until(c.deadline)
+	if ch.RateWait > 0 && time.Since(c.began)+ch.RateWait > maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout()) {
+		// Other gateways have shares of their own, and the planner may add a replica.
+		h.recordNoCapacity(c)
+		h.reject(c, "rate_limited", min(ch.RateWait, left/retryAfterDivisor))
+		return responded{}
+	}
+	if c.attempts == 0 && (ch.TimeToLastToken(c.req.OutputTokens) > left || h.exceedsIdleTimeout(c, ch)) {
 		h.reject(c, "too_late", left/retryAfterDivisor)
 		return responded{}
 	}
-	if c.attempts > 0 && !h.tracker.takeRetry(service.Name, h.control.GatewayCount()) {
+	wait, ok := h.tracker.reserveRequest(stateOf(candidates, ch.ID).Endpoint, gateways, ch.RateWait)
+	if !ok {
+		return chooseAgain{}
+	}
+	if c.attempts > 0 && !h.tracker.takeRetry(service.Name, gateways) {
 		return exhausted{",no_budget"}
 	}
 	st := stateOf(candidates, ch.ID)
 	if st.StatusSupersedes {
 		c.reportAge = now.Sub(st.Status.ReceivedAt)
 	}
-	return dispatch{st}
+	return dispatch{st, now.Add(wait)}
 }
 
 // exceedsIdleTimeout reports whether the client would give up before the first event.
 func (h *Handler) exceedsIdleTimeout(c *call, ch pick.Choice) bool {
 	idleTimeout := c.route.ClientIdleTimeout()
-	return idleTimeout > 0 && time.Since(c.began)+ch.Estimate > idleTimeout
+	return idleTimeout > 0 && time.Since(c.began)+ch.RateWait+ch.Estimate > idleTimeout
 }
 
 // recordNoAdapterSlot records that an endpoint did not load the request's adapter.
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -136,6 +136,8 @@
 	cachedFingerprint string
 	// noAdapterSlot lists the ids of endpoints that had no free slot for the adapter.
 	noAdapterSlot []string
+	// demandRecorded is set once the request was counted as demand for its model.
+	demandRecorded bool
 	// noCapacityRecorded is set once the planner was told that the request found no capacity.
 	noCapacityRecorded bool
 	// outcome says in the log and the metrics how the request ended.
--- a/internal/transport/proxy/ratelimit.go
+++ b/internal/transport/proxy/ratelimit.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pace"
 )
 
 // rateLimit is the rate of requests that an endpoint takes from all gateways together.
@@ -47,7 +49,7 @@
 		}
 		return
 	}
-	before := h.tracker.setRateLimit(e, limit)
+	before := h.tracker.setRateLimit(e, limit, h.draw())
 	if before == limit {
 		return
 	}
@@ -62,15 +64,58 @@
 }
 
 // setRateLimit replaces the rate limit of an endpoint incarnation and returns the one before.
-func (t *tracker) setRateLimit(e fleet.Endpoint, limit rateLimit) rateLimit {
+// draw is a random number in [0, 1) that sets the time of the first request under a new limit.
+func (t *tracker) setRateLimit(e fleet.Endpoint, limit rateLimit, draw float64) rateLimit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.endpoint(e)
 	before := r.rateLimit
 	r.rateLimit = limit
+	if limit.named && r.pace == (pace.Pace{}) {
+		// A limit that was withdrawn meanwhile goes on where it ended.
+		r.pace = pace.New(time.Now(), draw)
+	}
 	return before
 }
 
+// reserveRequest takes the next request that an endpoint's rate limit allows this gateway, and
+// returns the time until then. It fails if that is longer than the wait that the choice was
+// based on, because another request has taken that one.
+func (t *tracker) reserveRequest(e fleet.Endpoint, gateways int, expected time.Duration) (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoint(e)
+	if !r.rateLimit.named {
+		return 0, true
+	}
+	now := time.Now()
+	share := pace.NewShare(r.rateLimit.perSecond, gateways)
+	wait := r.pace.Wait(now, share)
+	if wait > expected {
+		return 0, false
+	}
+	r.pace = r.pace.WithRequest(now, share)
+	return wait, true
+}
+
+// awaitRateLimit waits until an endpoint's rate limit allows the request. It returns false if
+// the request or the endpoint ended meanwhile or the endpoint is leaving.
+func (h *Handler) awaitRateLimit(c *call, e fleet.Endpoint, allowedAt time.Time) bool {
+	wait := time.Until(allowedAt)
+	if wait <= 0 {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.ctx.Done():
+		return false
+	}
+	listed, ok := h.view().Endpoints[e.ID]
+	return ok && !listed.Leaving && listed.Incarnation == e.Incarnation
+}
+
 // firstInvalidRateLimit reports whether an unreadable rate limit is the first of an endpoint
 // incarnation.
 func (t *tracker) firstInvalidRateLimit(e fleet.Endpoint) bool {
--- a/internal/transport/proxy/ratelimit_test.go
+++ b/internal/transport/proxy/ratelimit_test.go
@@ -2,9 +2,103 @@
 
 import (
 	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"chervilhead/internal/state/fleet"
 )
 
+// startLimitedEndpoint starts an endpoint whose answers name the limit that the returned value
+// holds.
+func startLimitedEndpoint(t *testing.T, limit string) (*fakeEndpoint, *atomic.Value) {
+	t.Helper()
+	named := &atomic.Value{}
+	named.Store(limit)
+	return startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+		header := ""
+		if v, _ := named.Load().(string); v != "" {
+			header = "Test-Limit: " + v + "\r\n"
+		}
+		reply(c, r, 200, header, "fine")
+	}), named
+}
+
+// expectStatus sends a request to a gateway and checks the status and that the answer came soon.
+func expectStatus(t *testing.T, g *gateway, want int) {
+	t.Helper()
+	began := time.Now()
+	res, err := g.do(t.Context(), t, "POST", "/a/x", nil, "")
+	if err != nil || res.status != want || want == http.StatusServiceUnavailable && res.header.Get("Retry-After") == "" {
+		t.Fatalf("response %+v, error %v, want status %d, with Retry-After if it is 503", res, err, want)
+	}
+	if took := time.Since(began); took > 150*time.Millisecond {
+		t.Errorf("status %d after %v", want, took)
+	}
+}
+
+// TestOnlyEndpointLimited guards against requests that wait in vain for the only endpoint of a model, and against a limit that outlives its end.
+func TestOnlyEndpointLimited(t *testing.T) {
+	e, named := startLimitedEndpoint(t, "0.5")
+	g := startGateway(t, fleet.Stream, false, e)
+	expectStatus(t, g, http.StatusOK)
+	for range 5 {
+		expectStatus(t, g, http.StatusServiceUnavailable)
+	}
+	if n := e.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint, want one", n)
+	}
+	if g.noCapacity.Load() == 0 {
+		t.Error("the planner was not told that the model lacks capacity")
+	}
+	named.Store("0.5 or so")
+	time.Sleep(3 * time.Second)
+	expectStatus(t, g, http.StatusOK)
+	expectStatus(t, g, http.StatusServiceUnavailable)
+	named.Store("")
+	time.Sleep(3 * time.Second)
+	for range 3 {
+		expectStatus(t, g, http.StatusOK)
+	}
+}
+
+// TestOtherEndpointsTakeLimitedLoad guards against rejections for an endpoint's limit while another one has none.
+func TestOtherEndpointsTakeLimitedLoad(t *testing.T) {
+	limited, _ := startLimitedEndpoint(t, "1")
+	free := startEndpoint(t, serveOK)
+	g := startGateway(t, fleet.Stream, false, limited, free)
+	for range 20 {
+		expectStatus(t, g, http.StatusOK)
+	}
+	if n := limited.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the limited endpoint, want one", n)
+	}
+}
+
+// TestEndpointLeavesDuringRateWait guards against a request that waited for an endpoint's limit and is sent although the endpoint leaves.
+func TestEndpointLeavesDuringRateWait(t *testing.T) {
+	e, _ := startLimitedEndpoint(t, "5")
+	g := startGateway(t, fleet.Stream, false, e)
+	expectStatus(t, g, http.StatusOK)
+	time.AfterFunc(100*time.Millisecond, func() {
+		states := slices.Clone(*g.states.Load())
+		states[0].Leaving = true
+		g.states.Store(&states)
+		v := *g.view.Load()
+		v.Endpoints = maps.Clone(v.Endpoints)
+		v.Endpoints["e0"] = states[0].Endpoint
+		g.view.Store(&v)
+	})
+	res, err := g.do(t.Context(), t, "POST", "/a/x", nil, "")
+	if err != nil || res.status != http.StatusServiceUnavailable || e.requests.Load() != 1 {
+		t.Errorf("response %+v, error %v, %d requests at the endpoint, want 503 and one request", res, err, e.requests.Load())
+	}
+}
+
 func TestParseRateLimit(t *testing.T) {
 	for text, want := range map[string]rateLimit{"": {}, "1": {true, 1}, "0.25": {true, 0.25}, "0": {named: true}, "1e3": {true, 1000}} {
 		if got, err := parseRateLimit(text); err != nil || got != want {
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -9,6 +9,7 @@
 	"chervilhead/internal/state/budget"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/health"
+	"chervilhead/internal/state/pace"
 	"chervilhead/internal/state/pick"
 )
 
@@ -47,6 +48,8 @@
 	// once an answer wasn't readable.
 	rateLimit        rateLimit
 	invalidRateLimit bool
+	// pace counts this gateway's requests against its share of the limit.
+	pace pace.Pace
 }
 
 const (
@@ -92,8 +95,10 @@
 	return m
 }
 
-// candidates returns the endpoints of the request's service with what the gateway knows of them.
-func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, connected func(e fleet.Endpoint) bool) []pick.Candidate {
+// candidates returns the endpoints of the request's service with what the gateway knows of
+// them; gateways is the number of gateways that share an endpoint's rate limit.
+func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, gateways int, connected func(e fleet.Endpoint) bool) []pick.Candidate {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]pick.Candidate, 0, len(states))
@@ -106,6 +111,9 @@
 		if c.Slots == 0 {
 			c.Slots = slots
 		}
+		if r.rateLimit.named {
+			c.RateWait = r.pace.Wait(now, pace.NewShare(r.rateLimit.perSecond, gateways))
+		}
 		for _, p := range req.Parts {
 			if _, ok := r.cachedPrefixes[p.PrefixHash]; !ok {
 				break
--- a/internal/transport/proxy/tracker_test.go
+++ b/internal/transport/proxy/tracker_test.go
@@ -15,7 +15,7 @@
 	req := pick.Request{Service: "s", ModelName: fleet.ParseModelName("m/x"), Parts: pick.ParsePromptParts(fleet.ParseModelName("m/x"), "a:10,b:20,c:5"), SharedParts: 2}
 	states := []fleet.State{{Endpoint: e}}
 	connected := func(fleet.Endpoint) bool { return false }
-	one := func() pick.Candidate { return tr.candidates(states, 4, req, connected)[0] }
+	one := func() pick.Candidate { return tr.candidates(states, 4, req, 1, connected)[0] }
 
 	first, end := tr.beginRequest(e, req, 35)
 	if c := one(); c.InFlight != 1 || c.Prefilling != 1 || c.PrefillTokens != 35 || c.CachedTokens != 0 {
@@ -48,7 +48,7 @@
 	// Another gateway learns the shared prefixes; a new incarnation has an empty cache.
 	other := newTracker(budget.Limit{Window: time.Second})
 	other.merge(e, []uint64{req.Parts[0].PrefixHash, req.Parts[1].PrefixHash})
-	if c := other.candidates(states, 4, req, connected)[0]; c.CachedTokens != 30 {
+	if c := other.candidates(states, 4, req, 1, connected)[0]; c.CachedTokens != 30 {
 		t.Errorf("the other gateway estimates %d cached tokens, want 30", c.CachedTokens)
 	}
 	states[0].Incarnation = 7
