soak: endpoints that name rate limits

The LIMIT incident was missed by the soak because its endpoints never named a limit. The limits have draws of their own, so that the other faults of the kept seeds stay as they were.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,16 +26,17 @@
 	powerLoss
 	newRoute
 	historyDrop
-	// faultKindCount ends the kinds that schedule draws; storeRestore has a schedule of its own.
+	// faultKindCount ends the kinds that schedule draws; the others have schedules of their own.
 	faultKindCount
 	storeRestore
+	rateLimit
 )
 
 // String returns the kind's name in reports.
 func (k faultKind) String() string {
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
-		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore",
+		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore", "rate_limit",
 	}[k]
 }
 
@@ -141,6 +142,8 @@
 		s.env.Store.DropHistory()
 	case storeRestore:
 		s.restoreStore(e)
+	case rateLimit:
+		s.limitRate(e)
 	case faultKindCount:
 	}
 }
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -10,25 +10,6 @@
 	"chervilhead/platform/stub"
 )
 
-// meanRestoreInterval is the mean time between restores of the store, which may overlap.
-const meanRestoreInterval = 5 * time.Second
-
-// scheduleRestores returns the restores of the store of a seed, ordered by time. They have
-// draws of their own, so that the other faults of a seed don't depend on them.
-func scheduleRestores(seed uint64, length time.Duration) []faultEvent {
-	r := rand.New(rand.NewPCG(seed, 2))
-	var out []faultEvent
-	for at := time.Duration(0); ; {
-		at += time.Duration(r.ExpFloat64() * float64(meanRestoreInterval))
-		if at >= length {
-			return out
-		}
-		e := faultEvent{at: at, kind: storeRestore, target: r.IntN(1 << 16), variant: r.IntN(1 << 16)}
-		e.duration = minFaultDuration + time.Duration(r.Int64N(int64(maxFaultDuration-minFaultDuration)))
-		out = append(out, e)
-	}
-}
-
 // restoreStore lets the store come back from a copy that is as old as the fault is long, for
 // each process after a time of its own. A route that was acknowledged after the copy must be
 // in force on each gateway once the operators have written it again.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,8 @@
 	Clients                           int
 	// Restores adds restores of the store from a copy to the faults.
 	Restores bool
+	// RateLimits adds endpoints that name a rate limit to the faults.
+	RateLimits bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -97,8 +99,11 @@
 	events := schedule(cfg.Seed, cfg.InjectionDuration)
 	if cfg.Restores {
 		events = append(events, scheduleRestores(cfg.Seed, cfg.InjectionDuration)...)
-		slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
 	}
+	if cfg.RateLimits {
+		events = append(events, scheduleRateLimits(cfg.Seed, cfg.InjectionDuration)...)
+	}
+	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
 	if cfg.DisableFaults {
 		events = nil
 	}
@@ -139,6 +144,7 @@
 	cancel()
 	load.Wait()
 	s.checkArrivals()
+	s.checkRateLimits()
 	for _, p := range s.procs() {
 		if p.unexpectedExits > 0 {
 			s.env.Checker.AddViolation("FAULT", "%s exited unexpectedly %d times", p.name, p.unexpectedExits)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,14 +44,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Run("seed_"+f[0], func(t *testing.T) { runSeed(t, bin, seed, length, f[2] == "+restores") })
+		t.Run("seed_"+f[0], func(t *testing.T) {
+			runSeed(t, bin, seed, length, slices.Contains(f, "+restores"), slices.Contains(f, "+limits"))
+		})
 	}
 }
 
-func runSeed(t *testing.T, bin string, seed uint64, length time.Duration, restores bool) {
+func runSeed(t *testing.T, bin string, seed uint64, length time.Duration, restores, limits bool) {
 	t.Helper()
 	rep, err := Run(t.Context(), Settings{
-		Binary: bin, Dir: filepath.Join(t.TempDir(), "soak"), Seed: seed, InjectionDuration: length, Gateways: 3, PlainEndpoints: 4, Engines: 2, Clients: 12, Restores: restores,
+		Binary: bin, Dir: filepath.Join(t.TempDir(), "soak"), Seed: seed, InjectionDuration: length, Gateways: 3, PlainEndpoints: 4, Engines: 2, Clients: 12, Restores: restores, RateLimits: limits,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -105,21 +107,23 @@
 	}
 }
 
-func TestScheduleRestores(t *testing.T) {
-	count := 0
-	for seed := range uint64(40) {
-		list := scheduleRestores(seed, 20*time.Second)
-		if !slices.Equal(list, scheduleRestores(seed, 20*time.Second)) {
-			t.Fatalf("seed %d gave two different schedules", seed)
-		}
-		count += len(list)
-		for _, e := range list {
-			if e.kind != storeRestore || e.duration < minFaultDuration || e.duration > maxFaultDuration {
-				t.Errorf("seed %d: not a restore or its duration is out of bounds: %s", seed, e)
+func TestScheduleKinds(t *testing.T) {
+	for kind, schedule := range map[faultKind]func(uint64, time.Duration) []faultEvent{storeRestore: scheduleRestores, rateLimit: scheduleRateLimits} {
+		count := 0
+		for seed := range uint64(40) {
+			list := schedule(seed, 20*time.Second)
+			if !slices.Equal(list, schedule(seed, 20*time.Second)) {
+				t.Fatalf("%s: seed %d gave two different schedules", kind, seed)
+			}
+			count += len(list)
+			for _, e := range list {
+				if e.kind != kind || e.duration < minFaultDuration || e.duration > maxFaultDuration {
+					t.Errorf("seed %d: not a %s or its duration is out of bounds: %s", seed, kind, e)
+				}
 			}
 		}
-	}
-	if count < 40 {
-		t.Errorf("%d restores in 40 seeds of 20 s", count)
+		if count < 40 {
+			t.Errorf("%d faults %s in 40 seeds of 20 s", count, kind)
+		}
 	}
 }
--- a/internal/standin/testbed/ratelimit.go
+++ b/internal/standin/testbed/ratelimit.go
@@ -54,7 +54,8 @@
 }
 
 // CheckRateLimits checks that no endpoint got more requests than the limit that it named
-// allows. excused reports whether a gateway was disturbed in a period.
+// allows. excused reports whether a gateway was disturbed between the time when it first passed
+// the limit on and a request.
 func (c *Checker) CheckRateLimits(excused func(gateway string, from, to time.Time) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,7 +73,7 @@
 		if a.Endpoint != endpoint || told.IsZero() || a.At.Sub(told) < rateLimitNotice || !l.to.IsZero() && a.At.After(l.to) {
 			continue
 		}
-		if excused(a.Gateway, a.At.Add(-rateLimitWindow), a.At) {
+		if excused(a.Gateway, told, a.At) {
 			continue
 		}
 		counted = append(counted, a.At)
