proxy: only an endpoint's signed answer ends its rate limit

Callers of an endpoint in need would have pushed it over its limit as soon as it rejected one of them: an answer without the limit's field withdrew the limit, also a rejection or a broken answer, which may lack fields that its usual answers have.

Only an answer with the endpoint's signature withdraws a limit; any answer may name one.

--- a/internal/transport/proxy/ratelimit.go
+++ b/internal/transport/proxy/ratelimit.go
@@ -41,7 +41,13 @@
 		// Another endpoint has taken the address over and speaks for itself.
 		return
 	}
-	limit, err := parseRateLimit(resp.Header.Get(h.cfg.Headers.RateLimit))
+	text := resp.Header.Get(h.cfg.Headers.RateLimit)
+	if text == "" && resp.Header.Get(h.cfg.Headers.Signature) == "" {
+		// Rejections and broken answers may lack the field; only an endpoint's own answer says
+		// that the limit has ended.
+		return
+	}
+	limit, err := parseRateLimit(text)
 	if err != nil {
 		if h.tracker.firstInvalidRateLimit(e) {
 			h.metrics.rateLimits.WithLabelValues(e.Service, "unreadable").Inc()
--- a/internal/transport/proxy/ratelimit_test.go
+++ b/internal/transport/proxy/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -111,3 +112,25 @@
 		}
 	}
 }
+
+// TestRejectionKeepsRateLimit guards against a limit that ends with a rejection that lacks the field.
+func TestRejectionKeepsRateLimit(t *testing.T) {
+	var served atomic.Int64
+	e := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+		if served.Add(1) == 1 {
+			reply(c, r, 200, "Test-Limit: 5\r\n", "fine")
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\nTest-Request: %s\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Test-Request"))
+	})
+	g := startGateway(t, fleet.AtMostOnce, false, e)
+	expectStatus(t, g, http.StatusOK)
+	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+		if _, err := g.do(t.Context(), t, "POST", "/a/x", nil, ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := served.Load(); n > 6 {
+		t.Errorf("%d requests reached the endpoint in a second, want at most its limit of 5 and the first one", n)
+	}
+}
