watch, platform: full reads that repeat don't load the store

Now that a new era makes reads full too, a store whose answers' eras don't settle (one unreadable high value would do, as only higher ones were taken over) would be read in a loop, at the cost of its rate for all.

Only a configuration that is newer than the one in force skips the pause.

--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -267,6 +267,30 @@
 	})
 }
 
+// restlessStore answers each read of the configuration at once and in full.
+type restlessStore struct{ *fakeStore }
+
+func (s restlessStore) Config(ctx context.Context, _ store.Version, wait time.Duration) (ConfigChange, error) {
+	time.Sleep(time.Millisecond)
+	return s.fakeStore.Config(ctx, 0, wait)
+}
+
+// TestFullReadsWithoutNews guards against a loop without a pause while each read of the configuration is a full one.
+func TestFullReadsWithoutNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := restlessStore{newFakeStore()}
+		w := New(s, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond}, nil, logrus.NewEntry(log))
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		w.Run(ctx)
+		if _, n := s.readCounts(); n > 52 {
+			t.Errorf("%d reads of the configuration in 10 s, want one every 200 ms", n)
+		}
+	})
+}
+
 func TestEndpointsDigest(t *testing.T) {
 	base := map[string]fleet.Endpoint{"a": {ID: "a", Service: "s", Address: "x"}, "b": {ID: "b"}}
 	sum := endpointsDigest(base)
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -151,15 +151,17 @@
 		for _, err := range ch.DecodeErrors {
 			w.log.WithError(err).Error("a configuration could not be decoded; the previous one stays in force")
 		}
+		news := false
 		w.update(func(v *View) {
 			v.ConfigConfirmedAt = time.Now()
 			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
 				return
 			}
+			news = true
 			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full}).Info("configuration in force")
 			v.Config, v.HasConfig = ch.Config, true
 		})
-		if ch.Changed || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
+		if news || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
 			continue
 		}
 		// The store answered early without a change; the pause keeps within its rate limit.
