lease: fencing tokens that rise across a restore of the store

A row that comes back from a copy has forgotten the grants since, so that a token is given out again. Keepers follow the highest token and, under one token, the highest move, and would have ignored the next planner's moves: models that callers wait for stay unloaded.

The row's version names the era. A grant in a new era, also one to the holder that the row still names, gets a token above all of earlier eras.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -121,8 +121,10 @@
 		return ErrHeld
 	}
 	next := Row{Holder: m.holder, FencingToken: cur.FencingToken, TermMillis: m.term.Milliseconds(), MarginMillis: m.margin.Milliseconds()}
-	if cur.Holder != m.holder || !m.held {
-		next.FencingToken++
+	era := store.Version(row.Version).Era()
+	if cur.Holder != m.holder || !m.held || era != store.Version(m.version).Era() {
+		// A row that was restored from a copy has forgotten the tokens given out since.
+		next.FencingToken = max(next.FencingToken, uint64(store.NewVersion(era, 0))) + 1
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -189,3 +189,53 @@
 		})
 	}
 }
+
+// TestTokenAfterRestore guards against a fencing token that is given out again after the table service was restored from a copy.
+func TestTokenAfterRestore(t *testing.T) {
+	for _, holderOfCopy := range []string{"a", "b"} {
+		synctest.Test(t, func(t *testing.T) {
+			tab := &table{}
+			a, b := newManagers(tab)
+			holders := map[string]*Manager{"a": a, "b": b}
+			acquire := func(m *Manager) uint64 {
+				t.Helper()
+				for range 20 {
+					if m.Refresh(t.Context(), nil) == nil {
+						break
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				token, ok := m.Valid(time.Now())
+				if !ok {
+					t.Fatal("the lease was not acquired")
+				}
+				return token
+			}
+			acquire(holders[holderOfCopy])
+			saved := tab.row
+			if err := holders[holderOfCopy].Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			lost := acquire(b)
+			if err := b.Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			lost = max(lost, acquire(a))
+			tab.row = saved
+			tab.row.Version = uint64(store.NewVersion(1, saved.Version))
+			// Whoever holds the lease next has a token that no other grant had.
+			for _, name := range []string{"a", "b"} {
+				m := holders[name]
+				if err := m.Refresh(t.Context(), nil); err == nil {
+					if token, _ := m.Valid(time.Now()); token <= lost {
+						t.Errorf("%s has token %d after the restore, %d was given out before it", name, token, lost)
+					}
+				}
+				checkExclusive(t, a, b)
+			}
+			if token := acquire(holders[holderOfCopy]); token <= lost {
+				t.Errorf("%s has token %d after the restore, %d was given out before it", holderOfCopy, token, lost)
+			}
+		})
+	}
+}
