--- a/internal/transport/proxy/ratelimit.go
+++ b/internal/transport/proxy/ratelimit.go
@@ -69,6 +69,17 @@
 	h.log.WithFields(fields).Info("an endpoint no longer limits the rate of its requests")
 }
 
+// firstInvalidRateLimit reports whether an unreadable rate limit is the first of an endpoint
+// incarnation.
+func (t *tracker) firstInvalidRateLimit(e fleet.Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoint(e)
+	first := !r.invalidRateLimit
+	r.invalidRateLimit = true
+	return first
+}
+
 // setRateLimit replaces the rate limit of an endpoint incarnation and returns the one before.
 // draw is a random number in [0, 1) that sets the time of the first request under a new limit.
 func (t *tracker) setRateLimit(e fleet.Endpoint, limit rateLimit, draw float64) rateLimit {
@@ -121,14 +132,3 @@
 	listed, ok := h.view().Endpoints[e.ID]
 	return ok && !listed.Leaving && listed.Incarnation == e.Incarnation
 }
-
-// firstInvalidRateLimit reports whether an unreadable rate limit is the first of an endpoint
-// incarnation.
-func (t *tracker) firstInvalidRateLimit(e fleet.Endpoint) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.endpoint(e)
-	first := !r.invalidRateLimit
-	r.invalidRateLimit = true
-	return first
-}
