--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -10,9 +10,9 @@
 	"chervilhead/platform/stub"
 )
 
-// restoreStore lets the store come back from a copy that is as old as the fault is long, for
-// each process after a time of its own. A route that was acknowledged after the copy must be
-// in force on each gateway once the operators have written it again.
+// restoreStore restores the store from a copy that is as old as the fault is long; each process
+// reaches it again after a time of its own. A route that was acknowledged after the copy was
+// taken must be in force on each gateway once it has been written again.
 func (s *soak) restoreStore(e faultEvent) {
 	done := s.recordFault(&s.storeFaults)
 	r := rand.New(rand.NewPCG(s.cfg.Seed, uint64(e.variant)))
--- a/internal/transport/proxy/ratelimit_test.go
+++ b/internal/transport/proxy/ratelimit_test.go
@@ -11,7 +11,9 @@
 	"testing"
 	"time"
 
+	"chervilhead/internal/state/budget"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
 )
 
 // startLimitedEndpoint starts an endpoint whose answers name the limit that the returned value
@@ -134,3 +136,22 @@
 		t.Errorf("%d requests reached the endpoint in a second, want at most its limit of 5 and the first one", n)
 	}
 }
+
+// BenchmarkCandidates measures the collection of candidates at the target of 600 endpoints.
+func BenchmarkCandidates(b *testing.B) {
+	for name, limit := range map[string]rateLimit{"no_limits": {}, "all_limited": {named: true, perSecond: 1}} {
+		b.Run(name, func(b *testing.B) {
+			tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+			var states []fleet.State
+			for i := range 600 {
+				e := fleet.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s"}
+				states = append(states, fleet.State{Endpoint: e})
+				tr.setRateLimit(e, limit, 0.5)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				tr.candidates(states, 4, pick.Request{Service: "s"}, 340, func(fleet.Endpoint) bool { return true })
+			}
+		})
+	}
+}
