http1: bound what is read before a response to the request

Callers would have seen: an endpoint in trouble that sends bytes without end, in a head or in a response to another request, filled the gateway's memory until the request's deadline; a gateway with 184 MB is killed by that and all its callers lose their answers. Cause: http.ReadResponse sets no limit on a head, and the body of an unrelated response was skipped to its end. Change: a head ends at 128 KB, a skipped body at 256 KB; the attempt fails at once, and the connection is closed.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,20 +19,50 @@
 	// idleTimeoutMargin is subtracted from the endpoint's idle timeout, so that a request
 	// isn't sent while the endpoint closes the connection.
 	idleTimeoutMargin = 700 * time.Millisecond
+	// maxHeadBytes bounds the bytes read for the head of one response; an endpoint sends some
+	// hundred.
+	maxHeadBytes = 128 << 10
+	// maxUnrelatedBytes bounds the body of a response to another request that is skipped.
+	maxUnrelatedBytes = 256 << 10
 )
 
+var errHeadTooLong = errors.New("the response's head exceeds the size limit")
+
 // conn is one connection to an endpoint, used by one request at a time.
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// headBytesLeft is what may still be read before the response's head is complete, or
+	// unlimited.
+	headBytesLeft int
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	// idleSince is when the connection became idle.
 	idleSince time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBufferBytes), idleTimeout: defaultIdleTimeout}
+// unlimited is the value of headBytesLeft while no head is read.
+const unlimited = -1
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, headBytesLeft: unlimited, idleTimeout: defaultIdleTimeout}
+	c.br = bufio.NewReaderSize(headLimitReader{c}, readBufferBytes)
+	return c
+}
+
+// headLimitReader reads from a connection and fails once headBytesLeft is used up.
+type headLimitReader struct{ c *conn }
+
+func (r headLimitReader) Read(p []byte) (int, error) {
+	if r.c.headBytesLeft == unlimited {
+		return r.c.Conn.Read(p)
+	}
+	if r.c.headBytesLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.c.Conn.Read(p[:min(len(p), r.c.headBytesLeft)])
+	r.c.headBytesLeft -= n
+	return n, err
 }
 
 // abort closes the connection with a reset. The reset discards data that a broken link or a
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -141,7 +140,7 @@
 			// A failed write shows in the read of the response.
 		}()
 	}
-	resp, err := readResponse(c.br, req) //nolint:bodyclose // Response.Close ends the body with its connection.
+	resp, err := readResponse(c, req) //nolint:bodyclose // Response.Close ends the body with its connection.
 	if err != nil {
 		return fail(Sent, err)
 	}
@@ -159,14 +158,17 @@
 	return out, nil
 }
 
-// readResponse reads responses until the one with the request's id.
-func readResponse(br *bufio.Reader, req *Request) (*http.Response, error) {
+// readResponse reads responses until the one with the request's id. It bounds what it reads
+// of anything else, because a faulty endpoint may send bytes without end.
+func readResponse(c *conn, req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxResponses {
-		resp, err := http.ReadResponse(br, httpReq)
+		c.headBytesLeft = maxHeadBytes
+		resp, err := http.ReadResponse(c.br, httpReq)
 		if err != nil {
 			return nil, err
 		}
+		c.headBytesLeft = unlimited
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -177,7 +179,10 @@
 		if got == "" {
 			return nil, fmt.Errorf("%w: a response with status %d names no request", errUnrelatedResponses, resp.StatusCode)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		switch _, err := io.CopyN(io.Discard, resp.Body, maxUnrelatedBytes); {
+		case err == nil:
+			return nil, fmt.Errorf("%w, one of them with over %d bytes", errUnrelatedResponses, maxUnrelatedBytes)
+		case !errors.Is(err, io.EOF):
 			return nil, err
 		}
 	}
