proxy: time limits for callers that send or read slowly

Callers would have seen: nothing themselves, but a caller that sends its body a byte now and then, or that stops reading, held a connection, a goroutine and memory of the gateway for as long as it liked, and a planned stop waited for it until its grace period was over. Cause: the request's time limit began after its body had been read, and writes to the caller had no deadline. Change: the body must arrive within the request's time limit, else 408 (it has not run); the response must be read until 1 s after it. Deadlines are replaced at each request on a connection (TestConnectionReusedAfterTimeLimit).

--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -155,6 +156,8 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	// This also replaces the deadline of the connection's previous request.
+	h.setWriteDeadline(c, c.began.Add(rejectWriteTimeout))
 	v := h.view()
 	if !v.HasConfig {
 		h.reject(c, "no_config", startRetryAfter)
@@ -170,21 +173,19 @@
 		return
 	}
 	c.route, c.configVersion = route, v.Config.Version
+	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
+	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
 	service, ok := v.Config.Service(route.PickService(h.draw()))
 	if !ok {
 		h.reject(c, "no_service", startRetryAfter)
 		return
 	}
-	if !h.readBody(c, v.Config.Limits) {
+	if !h.readBody(c, v.Config.Limits, deadline) {
 		return
 	}
 	defer h.bodyBytes.Add(-int64(len(c.body)))
 
-	left := route.Timeout
-	if ms, err := strconv.ParseInt(in.Header.Get(h.cfg.Headers.Deadline), 10, 64); err == nil {
-		left = min(left, time.Duration(ms)*time.Millisecond)
-	}
-	c.deadline = c.began.Add(left - responseMargin)
+	c.deadline = deadline
 	ctx, cancel := context.WithDeadlineCause(in.Context(), c.deadline, errTimeout)
 	defer cancel()
 	c.ctx = ctx
@@ -194,17 +195,38 @@
 	h.recordOutcome(c)
 }
 
+// setWriteDeadline bounds the time in which the caller has to read the response.
+func (h *Handler) setWriteDeadline(c *call, deadline time.Time) {
+	if err := http.NewResponseController(c.w).SetWriteDeadline(deadline); err != nil {
+		h.log.WithError(err).WithField("request", c.id).Warn("no deadline could be set for the response; a caller that does not read it is not cut off")
+	}
+}
+
+// timeLimit returns the time that the caller and the route give a request.
+func (h *Handler) timeLimit(in *http.Request, route fleet.Route) time.Duration {
+	left := route.Timeout
+	if ms, err := strconv.ParseInt(in.Header.Get(h.cfg.Headers.Deadline), 10, 64); err == nil {
+		left = min(left, time.Duration(ms)*time.Millisecond)
+	}
+	return left
+}
+
 const (
 	// startRetryAfter is the Retry-After while the gateway starts, its configuration is stale or
 	// lacks the service, or its memory for bodies is in use.
 	startRetryAfter = 300 * time.Millisecond
 	// responseMargin is the time for a response to reach the client before its deadline.
 	responseMargin = 8 * time.Millisecond
+	// rejectWriteTimeout bounds the writing of a response to a request without a route.
+	rejectWriteTimeout = 5 * time.Second
+	// lateWriteTimeout is how long after its request's time limit a response may still be
+	// written; a caller on a slow link gets one that is ready late.
+	lateWriteTimeout = time.Second
 )
 
 // readBody buffers the request's body; it responds and returns false when the body, or the
-// total of all bodies in memory, is too large.
-func (h *Handler) readBody(c *call, limits fleet.Limits) bool {
+// total of all bodies in memory, is too large, or when the deadline passes before its end.
+func (h *Handler) readBody(c *call, limits fleet.Limits, deadline time.Time) bool {
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBodyBytes
@@ -220,7 +242,17 @@
 	if c.in.ContentLength == 0 {
 		return true
 	}
+	conn := http.NewResponseController(c.w)
+	if err := conn.SetReadDeadline(deadline); err != nil {
+		h.log.WithError(err).WithField("request", c.id).Warn("no deadline could be set for the request's body; a slow caller is not cut off")
+	}
 	body, err := io.ReadAll(io.LimitReader(c.in.Body, limit+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The rest of the body may follow at any time, so the connection can't be used again.
+		c.w.Header().Set("Connection", "close")
+		h.respond(c, http.StatusRequestTimeout, "body_timeout")
+		return false
+	}
 	if err != nil {
 		// The client left or sent a malformed body; nobody can be answered.
 		c.outcome = "body_broken"
@@ -231,6 +263,10 @@
 		h.respond(c, http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
 	}
+	// The server reads on to notice that the caller leaves; that has no deadline.
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		h.log.WithError(err).WithField("request", c.id).Warn("the deadline of the request's body could not be removed; the request may end there")
+	}
 	c.body = body
 	h.bodyBytes.Add(int64(len(body)))
 	return true
