--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -145,6 +145,21 @@
 	outcome          string
 	status           int
 	timeToFirstEvent time.Duration
+	// longestGap is the longest time between two reads that completed events of the stream.
+	longestGap  time.Duration
+	lastEventAt time.Time
+}
+
+// lateReason returns which objective of its route an answered request missed, or "".
+func (c *call) lateReason() string {
+	switch {
+	case c.timeToFirstEvent > c.route.Objective && c.route.Objective > 0:
+		return "first"
+	case c.longestGap > c.route.GapObjective && c.route.GapObjective > 0:
+		return "gap"
+	default:
+		return ""
+	}
 }
 
 // errTimeout ends requests at their deadline or at the route's timeout.
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -14,6 +14,7 @@
 	requests         *prometheus.CounterVec
 	timeToFirstEvent *prometheus.HistogramVec
 	rateLimits       *prometheus.CounterVec
+	late             *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -29,11 +30,17 @@
 		rateLimits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilhead_gateway_rate_limits_total", Help: "Rate limits that endpoints named, withdrew or gave in an unreadable form, by service.",
 		}, []string{"service", "event"}),
+		late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilhead_gateway_late_total", Help: "Answered requests that missed a latency objective of their route, by route kind and objective.",
+		}, []string{"kind", "objective"}),
 	}
-	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits)
+	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.late)
 	return m
 }
 
+// outcomeAnswered is the outcome of a request whose caller got an endpoint's whole response.
+const outcomeAnswered = "answered"
+
 // recordOutcome counts a request in the metrics and logs how it ended.
 func (h *Handler) recordOutcome(c *call) {
 	kind := c.route.Kind.String()
@@ -42,7 +49,15 @@
 	if c.timeToFirstEvent > 0 {
 		h.metrics.timeToFirstEvent.WithLabelValues(kind).Observe(c.timeToFirstEvent.Seconds())
 	}
+	late := ""
+	if c.outcome == outcomeAnswered {
+		late = c.lateReason()
+	}
+	if late != "" {
+		h.metrics.late.WithLabelValues(kind, late).Inc()
+	}
 	h.log.WithFields(logrus.Fields{
+		"late": late, "gap_ms": c.longestGap.Milliseconds(),
 		"request": c.id, "route": c.route.Name, "name": c.req.ModelName.String(), "endpoint": c.choice.ID, "candidates": c.choice.CandidateCount,
 		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.PrefillTokens, "backlog": c.choice.BacklogTokens, "rate_wait_ms": c.choice.RateWait.Milliseconds(), "fetch": c.choice.LoadAdapter,
 		"report_age_ms": c.reportAge.Milliseconds(), "config": c.configVersion, "left_ms": time.Until(c.deadline).Milliseconds(),
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -45,7 +45,7 @@
 	}
 	h.tracker.recordResult(e, true)
 	onFirst()
-	h.writeResponse(c, a, "answered")
+	h.writeResponse(c, a, outcomeAnswered)
 	return attemptDone{}
 }
 
@@ -91,7 +91,7 @@
 	}
 	addTrailer(c.w, endToEndHeader(resp.Trailer()))
 	h.tracker.recordResult(e, true)
-	c.outcome = "answered"
+	c.outcome = outcomeAnswered
 	return attemptDone{}
 }
 
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
@@ -32,6 +33,11 @@
 		}
 		if complete > 0 {
 			onFirst()
+			now := time.Now()
+			if !c.lastEventAt.IsZero() {
+				c.longestGap = max(c.longestGap, now.Sub(c.lastEventAt))
+			}
+			c.lastEventAt = now
 			h.writeStreamHeader(c, resp)
 			if id := lastEventID(pending[:complete]); id != "" {
 				c.lastEventID = id
@@ -50,7 +56,7 @@
 			h.writeStreamHeader(c, resp)
 			addTrailer(c.w, endToEndHeader(resp.Trailer()))
 			h.tracker.recordResult(e, true)
-			c.outcome = "answered"
+			c.outcome = outcomeAnswered
 			return attemptDone{}
 		}
 		if err == nil && len(pending) > maxEventBytes {
