proxy, control, watch: deployments without keepers

Callers saw: on a deployment without side machines a request for a model that no engine holds waited up to half of its time for a load that nobody can order, and requests for adapters were sent where they can't be loaded. The store got a read from every gateway each 0.6 s, as if it had no planner. Cause: a gateway took silence of keepers it had never heard of for a delay; it relied on the planner's observations only while all keepers reported. Change: no keeper heard for 20 s, or within 3 s of the start: such requests are rejected at once, adapters are used where they are resident. Planner announcements carry a digest of the registered models, which stands in for keepers' reports when one is missing.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -20,6 +20,10 @@
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
+	// ModelsDigest is the digest of the models in the registrations. It is compared only if
+	// ModelsMatter is set, because keepers report models sooner than registrations do.
+	ModelsDigest uint64
+	ModelsMatter bool
 	// ConfigVersion is the version of the configuration, which the store confirmed at ConfigConfirmedAt.
 	ConfigVersion     uint64
 	ConfigConfirmedAt time.Time
@@ -75,7 +79,8 @@
 	start := time.Now()
 	limit := start.Add(max(pause, w.timing.OwnReadInterval))
 	due := start.Add(pause)
-	sum, newest := w.View().EndpointsDigest, version
+	v := w.View()
+	newest := version
 	for {
 		t := time.NewTimer(time.Until(due))
 		select {
@@ -85,7 +90,7 @@
 				// The observation is older than this process's own read.
 				continue
 			}
-			if obs.EndpointsDigest != sum {
+			if obs.EndpointsDigest != v.EndpointsDigest || obs.ModelsMatter && obs.ModelsDigest != v.ModelsDigest {
 				return reg, version
 			}
 			now := time.Now()
@@ -138,6 +143,20 @@
 	return now.Sub(w.observedConfigAt) < time.Duration(observationWaitFactor*float64(w.timing.EndpointPoll))
 }
 
+// modelsDigest hashes the models in the registrations. Adapters are left out: they change only
+// on a keeper's order, and a gateway needs registrations only of engines without a keeper.
+func modelsDigest(list map[string]fleet.Endpoint) uint64 {
+	x := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(list)) {
+		_, _ = x.WriteString(id)
+		for _, m := range list[id].Models {
+			_, _ = x.WriteString(" " + m.Model)
+		}
+		_, _ = x.Write([]byte{0})
+	}
+	return x.Sum64()
+}
+
 // endpointsDigest hashes what decides where requests may go. The models of a registration
 // are left out: keepers report them sooner.
 func endpointsDigest(list map[string]fleet.Endpoint) uint64 {
--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,6 +109,8 @@
 	reader, observer *Watcher
 	// muteReader stops or resumes the reader's observations.
 	muteReader func(bool)
+	// modelsMatter is set while the observer has no reports of keepers.
+	modelsMatter atomic.Bool
 }
 
 // startPair runs a watcher pair; the observer's own reads go to a store of its own.
@@ -125,7 +128,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if v.HasConfig && !muted {
-			p.observer.ApplyObservation(Observation{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ConfigVersion: v.Config.Version, ConfigConfirmedAt: v.ConfigConfirmedAt})
+			p.observer.ApplyObservation(Observation{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, ModelsMatter: p.modelsMatter.Load(), ConfigVersion: v.Config.Version, ConfigConfirmedAt: v.ConfigConfirmedAt})
 		}
 	}, logrus.NewEntry(log))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -219,6 +222,28 @@
 	})
 }
 
+// TestModelsInObservations guards against reads of the store that rise while keepers are
+// silent, and against models that a gateway without keepers doesn't learn of.
+func TestModelsInObservations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := newFakeStore()
+		p := startPair(t, own)
+		p.modelsMatter.Store(true)
+		calls, _ := own.readCounts()
+		time.Sleep(20 * time.Second)
+		if n, _ := own.readCounts(); n-calls > 5 {
+			t.Errorf("%d reads of the endpoints in 20 s, want one every 5 s", n-calls)
+		}
+		for _, s := range []*fakeStore{p.store, own} {
+			s.set(nil, fleet.Endpoint{ID: "a", Models: []fleet.Resident{{Model: "m"}}})
+		}
+		time.Sleep(650 * time.Millisecond)
+		if len(p.observer.View().Endpoints["a"].Models) != 1 {
+			t.Error("the observer does not see the model of an endpoint 650 ms after the change")
+		}
+	})
+}
+
 // TestUncertainEndpoints checks that endpoints count as uncertain only within the grace
 // period after an outage of the store.
 func TestUncertainEndpoints(t *testing.T) {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -76,6 +76,8 @@
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
+	// ModelsDigest is the digest of the models in the endpoints' registrations.
+	ModelsDigest uint64
 	// EndpointsUncertain is set while Endpoints may include some that the store no longer lists.
 	EndpointsUncertain bool
 }
@@ -203,9 +205,10 @@
 		before := reg.endpoints
 		reg = reg.with(ch, time.Now())
 		w.logChanges(before, reg.endpoints)
-		sum := endpointsDigest(reg.endpoints)
+		sum, models := endpointsDigest(reg.endpoints), modelsDigest(reg.endpoints)
 		v := w.update(func(v *View) {
-			v.Endpoints, v.EndpointsConfirmedAt, v.StoreVersion, v.EndpointsDigest, v.EndpointsUncertain = reg.endpoints, reg.confirmedAt, version, sum, reg.confirmedAt.Before(reg.graceUntil)
+			v.Endpoints, v.EndpointsConfirmedAt, v.StoreVersion, v.EndpointsUncertain = reg.endpoints, reg.confirmedAt, version, reg.confirmedAt.Before(reg.graceUntil)
+			v.EndpointsDigest, v.ModelsDigest = sum, models
 		})
 		if w.onChange != nil {
 			w.onChange(v)
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -137,6 +137,8 @@
 	// StoreVersion is the store's version, EndpointsDigest the digest of the endpoints at it.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
+	// ModelsDigest is the digest of the models in the endpoints' registrations.
+	ModelsDigest uint64
 	// ConfigVersion is the version of the configuration; ConfigConfirmedAge is the time since
 	// the store last confirmed that this version is the current one.
 	ConfigVersion      uint64
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -28,6 +28,8 @@
 	OutputTokens int
 	// FailureDomain is the gateway's failure domain.
 	FailureDomain string
+	// HeldOnly excludes endpoints that would have to load the adapter first.
+	HeldOnly bool
 	// Tried are the IDs of endpoints that are excluded because of an earlier attempt.
 	Tried []string
 }
@@ -199,8 +201,8 @@
 	if req.ModelName.Model == "" {
 		return true
 	}
-	model, _ := fleet.Holds(c.State.Residents(), req.ModelName)
-	return model
+	modelHeld, nameHeld := fleet.Holds(c.State.Residents(), req.ModelName)
+	return nameHeld || modelHeld && !req.HeldOnly
 }
 
 func scorePlain(req Request, c Candidate, m LatencyModel, now time.Time) (Choice, time.Duration) {
--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -41,7 +41,7 @@
 	if !isPlanner || !v.HasConfig || v.EndpointsUncertain {
 		return
 	}
-	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt)}, now)
+	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt)}, now)
 }
 
 // broadcast sends a message to all gateways that reported demand within demandTTL.
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -187,3 +187,23 @@
 		}
 	}
 }
+
+// TestKeepersAbsent checks that keepers count as absent only once they have had time to start.
+func TestKeepersAbsent(t *testing.T) {
+	p := startTestGateway(t, "a", &rows{rows: map[string]store.Row{}}, &watch.View{Endpoints: map[string]fleet.Endpoint{"e": {ID: "e", Service: "s", Address: "127.0.0.1:9"}}})
+	if p.KeepersAbsent("s") {
+		t.Error("keepers are absent right after the start")
+	}
+	p.startedAt = time.Now().Add(-keeperStartupTime)
+	if !p.KeepersAbsent("s") {
+		t.Error("no keeper has reported, and keepers are not absent")
+	}
+	for age, want := range map[time.Duration]bool{time.Second: false, keeperSilentFor + time.Second: true} {
+		p.mu.Lock()
+		p.reports["127.0.0.1:9"] = &report{status: fleet.Status{ReceivedAt: time.Now().Add(-age)}}
+		p.mu.Unlock()
+		if got := p.KeepersAbsent("s"); got != want {
+			t.Errorf("the last report came %v ago: absent %v", age, got)
+		}
+	}
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -49,6 +49,9 @@
 	// keeperSilentFor is the age at which the suspicion ends, because a keeper may be gone while
 	// its endpoint is alive.
 	keeperSilentFor = 20 * time.Second
+	// keeperStartupTime is the time after a gateway's start in which keepers may not have
+	// reported yet: hosts start within 0.3 s of one another, and restart within about 2 s.
+	keeperStartupTime = 3 * time.Second
 	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to all keepers, the
 	// others to those that never reported. After a loss of all hosts, keepers start some tenths
 	// of a second apart.
@@ -89,6 +92,8 @@
 	observe func(watch.Observation)
 	conn    net.PacketConn
 	log     *logrus.Entry
+	// startedAt is when the plane was made.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// reports holds the keepers' newest reports, by address of the endpoint.
@@ -113,7 +118,7 @@
 	p := &Plane{
 		cfg: cfg, view: view, takeUsage: func(string) ([]string, []uint64) { return nil, nil }, addPrefixes: func(fleet.Endpoint, []uint64) {}, mergeCrashRecord: func(poison.CrashRecord) {},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
-		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemandMeter(),
+		startedAt: time.Now(), reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemandMeter(),
 	}
 	p.planner = newPlanner(p, lease, table)
 	empty := []fleet.State{}
@@ -334,15 +339,18 @@
 			p.planner.handleDemand(m, from.String())
 		case *dgram.PlannerStatus:
 			p.planner.handleAnnouncement(m, from.String(), time.Now())
-			if !m.Resigned && p.allReported() {
-				p.observe(watch.Observation{StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge)})
+			if !m.Resigned {
+				p.observe(watch.Observation{
+					StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
+					ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
+				})
 			}
 		}
 	}
 }
 
 // allReported reports whether keeper reports supersede the registrations of all engines. If
-// one doesn't, the gateway reads the registrations itself.
+// one doesn't, the gateway needs the models in the registrations.
 func (p *Plane) allReported() bool {
 	v := p.view()
 	for _, s := range p.States() {
@@ -471,6 +479,27 @@
 // RecordNoCapacity records that a request for a model found no free slot or adapter slot.
 func (p *Plane) RecordNoCapacity(service, model string) { p.demand.noSlot(service, model, time.Now()) }
 
+// KeepersAbsent reports whether no keeper of a service's endpoints has reported lately, so that
+// no model or adapter can be loaded there. It is false until keepers have had time to start.
+func (p *Plane) KeepersAbsent(service string) bool {
+	now := time.Now()
+	if now.Sub(p.startedAt) < keeperStartupTime {
+		return false
+	}
+	v := p.view()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range v.Endpoints {
+		if e.Service != service {
+			continue
+		}
+		if r, ok := p.reports[e.Address]; ok && now.Sub(r.status.ReceivedAt) < keeperSilentFor {
+			return false
+		}
+	}
+	return true
+}
+
 // GatewayCount returns the largest number of gateways that a keeper reports, or a default until
 // one has reported.
 func (p *Plane) GatewayCount() int {
--- a/internal/transport/proxy/await_test.go
+++ b/internal/transport/proxy/await_test.go
@@ -11,12 +11,16 @@
 	"chervilhead/internal/state/fleet"
 )
 
-// configure gives the gateway one streaming route, based on r, to endpoints of model m.
-func (g *gateway) configure(r fleet.Route, m fleet.Model) {
+// configure gives the gateway one streaming route, based on r, to endpoints of the models.
+func (g *gateway) configure(r fleet.Route, models ...fleet.Model) {
 	r.Name, r.Host, r.Prefix, r.Kind, r.MaxAttempts = "r", "test.example", "/a/", fleet.Stream, 1
 	r.Targets = []fleet.Target{{Service: "s", Weight: 1}}
+	spec := &fleet.EngineSpec{Slots: 64, Models: map[string]fleet.Model{}}
+	for _, m := range models {
+		spec.Models[m.Name] = m
+	}
 	v := *g.view.Load()
-	v.Config = fleet.NewConfig(2, []fleet.Route{r}, []fleet.Service{{Name: "s", Engine: &fleet.EngineSpec{Slots: 64, Models: map[string]fleet.Model{m.Name: m}}}}, fleet.Limits{})
+	v.Config = fleet.NewConfig(2, []fleet.Route{r}, []fleet.Service{{Name: "s", Engine: spec}}, fleet.Limits{})
 	g.view.Store(&v)
 }
 
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -130,6 +130,7 @@
 	}
 	now := time.Now()
 	gateways := h.control.GatewayCount()
+	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
 	ch, ok := pick.Best(c.req, candidates, h.tracker.latencyModel(service.Name, c.req.ModelName.Model), now, adapterSlots, h.draw)
 	switch {
@@ -141,6 +142,10 @@
 	case service.Engine == nil:
 		h.reject(c, "no_endpoint", noEndpointRetryAfter)
 		return responded{}
+	case h.control.KeepersAbsent(service.Name):
+		// Nobody can load what no endpoint holds.
+		h.reject(c, "no_keeper", time.Until(c.deadline)/retryAfterDivisor)
+		return responded{}
 	case !h.awaitModel(c, service):
 		return responded{}
 	default:
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -40,6 +40,9 @@
 	RecordNoCapacity(service, model string)
 	// BroadcastCrashRecord sends the crash record of a suspect request to the other gateways.
 	BroadcastCrashRecord(rec poison.CrashRecord)
+	// KeepersAbsent reports whether a service's endpoints have no keepers, so that neither models
+	// nor adapters can be loaded there.
+	KeepersAbsent(service string) bool
 	// GatewayCount returns the number of gateways, or a default until it is known.
 	GatewayCount() int
 }
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -98,6 +98,8 @@
 	noAdapterSlot *atomic.Bool
 	// noCapacity counts the calls of RecordNoCapacity.
 	noCapacity *atomic.Int64
+	// keepersAbsent is set when no keeper reports.
+	keepersAbsent *atomic.Bool
 }
 
 func (f fakeControlPlane) States() []fleet.State { return f.states() }
@@ -120,6 +122,7 @@
 func (f fakeControlPlane) TrackRunning(string, string) func()      { return func() {} }
 func (f fakeControlPlane) RecordNoCapacity(string, string)         { f.noCapacity.Add(1) }
 func (f fakeControlPlane) GatewayCount() int                       { return 1 }
+func (f fakeControlPlane) KeepersAbsent(string) bool               { return f.keepersAbsent.Load() }
 func (f fakeControlPlane) BroadcastCrashRecord(poison.CrashRecord) {}
 
 type gateway struct {
@@ -128,6 +131,7 @@
 	states        atomic.Pointer[[]fleet.State]
 	noAdapterSlot atomic.Bool
 	noCapacity    atomic.Int64
+	keepersAbsent atomic.Bool
 }
 
 func startGateway(t *testing.T, kind fleet.RouteKind, resumable bool, endpoints ...*fakeEndpoint) *gateway {
@@ -160,7 +164,7 @@
 	log.SetOutput(io.Discard)
 	h := New(Settings{
 		Headers: testHeaders, FailureDomain: "z", Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Second, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
-	}, g.view.Load, fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity}, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
+	}, g.view.Load, fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, &g.keepersAbsent}, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
 	g.Server = httptest.NewServer(h)
 	t.Cleanup(g.Close)
 	return g
