pick: keep streams within their gap objective

Callers saw pauses over 150 ms in streams that had begun in time. Cause: an engine prefills a chunk of a prompt between two steps of its streams. Prompts that arrive together at one engine are read in time themselves, but all its streams stand still meanwhile. The choice of an engine counted the time to the first token only, and forgot a prompt once that had come.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -28,6 +28,8 @@
 	OutputTokens int
 	// FailureDomain is the gateway's failure domain.
 	FailureDomain string
+	// GapObjective is the latency objective for the gap between two events of a stream, or 0.
+	GapObjective time.Duration
 	// HeldOnly excludes endpoints that would have to load the adapter first.
 	HeldOnly bool
 	// Tried are the IDs of endpoints that are excluded because of an earlier attempt.
@@ -55,7 +57,10 @@
 	IdleConnection bool
 	// CachedTokens is the number of leading prompt tokens in the endpoint's prefix cache.
 	CachedTokens int
-	Health       health.Record
+	// SentTokens is the number of prompt tokens that this gateway sent to the endpoint for
+	// prefill within the request's gap objective.
+	SentTokens int
+	Health     health.Record
 	// RateWait is the time until this gateway's share of the endpoint's rate limit allows
 	// another request, 0 if it does now or there is no limit.
 	RateWait time.Duration
@@ -265,7 +270,7 @@
 		}
 	}
 	est = time.Duration(float64(est) * c.Health.LatencyRatio(now))
-	cost := est + time.Duration(orders)*orderCost
+	cost := est + time.Duration(orders)*orderCost + stallCost(c.SentTokens, prefill, req.GapObjective, time.Duration(float64(m.PrefillPerToken)*c.Health.LatencyRatio(now)))
 	if c.State.KeeperSilent {
 		cost += silentKeeperCost
 	}
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -296,6 +296,7 @@
 	if service.Engine == nil {
 		return req
 	}
+	req.GapObjective = c.route.GapObjective
 	req.ModelName = fleet.ParseModelName(c.in.Header.Get(h.cfg.Headers.Model))
 	req.Parts = pick.ParsePromptParts(req.ModelName, c.in.Header.Get(h.cfg.Headers.PromptPrefix))
 	prompt, output := pick.ParseTokenCounts(c.in.Header.Get(h.cfg.Headers.TokenCounts))
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,16 +35,17 @@
 	incarnation               int64
 	inFlight                  int
 	prefilling, prefillTokens int
-	health                    health.Record
-	cachedPrefixes            map[uint64]*list.Element
-	lru                       *list.List
+	// sends are the latest requests to the endpoint with their tokens to prefill, oldest first.
+	sends          []prefillSend
+	health         health.Record
+	cachedPrefixes map[uint64]*list.Element
+	lru            *list.List
 	// usedAdapters are the adapters requested since the last takeUsedAdapters.
 	usedAdapters map[string]struct{}
 	// activeNames counts the requests in flight by model name.
 	activeNames map[string]int
 	// prefilledPrefixes are the shared prompt prefixes prefilled since the last takePrefilledPrefixes.
 	prefilledPrefixes []uint64
-	lastUse           time.Time
 	// rateLimit is what the endpoint's last readable answer named; invalidRateLimit is set
 	// once an answer wasn't readable.
 	rateLimit        rateLimit
@@ -52,6 +54,27 @@
 	pace pace.Pace
 }
 
+// prefillSend is the prefill that one request to an endpoint needs.
+type prefillSend struct {
+	at     time.Time
+	tokens int
+}
+
+// maxSends bounds the requests that are kept to tell what an endpoint was sent lately.
+const maxSends = 64
+
+// sentSince returns the prompt tokens sent for prefill since a time.
+func (r *endpointRecord) sentSince(since time.Time) int {
+	n := 0
+	for _, s := range slices.Backward(r.sends) {
+		if s.at.Before(since) {
+			break
+		}
+		n += s.tokens
+	}
+	return n
+}
+
 const (
 	// initialPrefillPerToken is a prefill rate of 40 prompt tokens a millisecond, that of
 	// current engines.
@@ -114,6 +137,9 @@
 		if r.rateLimit.named {
 			c.RateWait = r.pace.Wait(now, pace.NewShare(r.rateLimit.perSecond, gateways))
 		}
+		if req.GapObjective > 0 {
+			c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
+		}
 		for _, p := range req.Parts {
 			if _, ok := r.cachedPrefixes[p.PrefixHash]; !ok {
 				break
@@ -134,7 +160,10 @@
 	r.inFlight++
 	r.prefilling++
 	r.prefillTokens += prefillTokens
-	r.lastUse = time.Now()
+	if len(r.sends) == maxSends {
+		r.sends = slices.Delete(r.sends, 0, maxSends/2)
+	}
+	r.sends = append(r.sends, prefillSend{time.Now(), prefillTokens})
 	name := req.ModelName.String()
 	if req.ModelName.Adapter != "" && len(r.usedAdapters) < maxUsedAdapters {
 		r.usedAdapters[name] = struct{}{}
