control: work per report that doesn't grow with the fleet

Callers of weak gateways saw late answers as the deployment grew. Cause: each keeper's report sorted and copied the states of all endpoints. A gateway that got no datagram at all also went on with its last states and never suspected the keepers. Evidence: TestReportCost and TestStates failed before. Change: states are combined when they are asked for, if a report came since or 50 ms have passed; engines that don't hold the model aren't candidates. TestTracker's endpoint now holds the model that its request names, as candidates must.

--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,9 @@
 	// keeperStartupTime is the time after a gateway's start in which keepers may not have
 	// reported yet: hosts start within 0.3 s of one another, and restart within about 2 s.
 	keeperStartupTime = 3 * time.Second
+	// maxSnapshotAge is the age from which the states are computed anew even without a report,
+	// because a keeper may have fallen silent.
+	maxSnapshotAge = 50 * time.Millisecond
 	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to all keepers, the
 	// others to those that never reported. After a loss of all hosts, keepers start some tenths
 	// of a second apart.
@@ -102,8 +106,19 @@
 	changed      chan struct{}
 	demand       *demandMeter
 	planner      *planner
-	snapshot     atomic.Pointer[[]fleet.State]
 	configHashes engineConfigHashes
+	// byID holds the endpoints of sortedView in order of their ids.
+	byID       []fleet.Endpoint
+	sortedView *watch.View
+	snapshot   atomic.Pointer[snapshot]
+	// outdated is set once the snapshot lacks a report or the newest view.
+	outdated atomic.Bool
+}
+
+// snapshot holds all endpoints with their newest reports at a time, in order of their ids.
+type snapshot struct {
+	at     time.Time
+	states []fleet.State
 }
 
 var _ proxy.ControlPlane = (*Plane)(nil)
@@ -121,8 +136,7 @@
 		startedAt: time.Now(), reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemandMeter(),
 	}
 	p.planner = newPlanner(p, lease, table)
-	empty := []fleet.State{}
-	p.snapshot.Store(&empty)
+	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
 
@@ -168,7 +182,26 @@
 func (p *Plane) ResignPlanner() { p.planner.resign.Do(func() { close(p.planner.resigned) }) }
 
 // States returns all endpoints with their newest keeper reports.
-func (p *Plane) States() []fleet.State { return *p.snapshot.Load() }
+func (p *Plane) States() []fleet.State {
+	if s := p.snapshot.Load(); !p.outdated.Load() && time.Since(s.at) < maxSnapshotAge {
+		return s.states
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.statesLocked()
+}
+
+// statesLocked is States for a caller that holds mu.
+func (p *Plane) statesLocked() []fleet.State {
+	now := time.Now()
+	if s := p.snapshot.Load(); !p.outdated.Load() && now.Sub(s.at) < maxSnapshotAge {
+		return s.states
+	}
+	p.outdated.Store(false)
+	states := p.buildStates(now)
+	p.snapshot.Store(&snapshot{now, states})
+	return states
+}
 
 // UpdateView applies a new view of the store. It subscribes to the keepers of new endpoints at
 // once and, on the planner, announces the observation.
@@ -184,7 +217,9 @@
 	for id := range v.Endpoints {
 		p.known[id] = true
 	}
-	p.rebuildSnapshot(true)
+	p.outdated.Store(true)
+	p.wakeWaiting()
+	p.dropOldReports(v, time.Now())
 	p.mu.Unlock()
 	if v.HasConfig {
 		p.subscribe(v, fresh)
@@ -192,20 +227,40 @@
 	p.planner.announce(v, time.Now())
 }
 
-// rebuildSnapshot rebuilds the snapshot; notify wakes waiting requests.
-func (p *Plane) rebuildSnapshot(notify bool) {
-	v := p.view()
-	now := time.Now()
-	out := make([]fleet.State, 0, len(v.Endpoints))
-	addrs := make(map[string]bool, len(v.Endpoints))
+// wakeWaiting wakes the requests that wait for a change of the states.
+func (p *Plane) wakeWaiting() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// dropOldReports drops the reports of keepers that are silent and beside no listed endpoint.
+func (p *Plane) dropOldReports(v *watch.View, now time.Time) {
+	listed := make(map[string]bool, len(v.Endpoints))
 	for _, e := range v.Endpoints {
-		addrs[e.Address] = true
+		listed[e.Address] = true
+	}
+	for a, r := range p.reports {
+		if !listed[a] && now.Sub(r.status.ReceivedAt) > keeperSilentFor {
+			delete(p.reports, a)
+		}
+	}
+}
+
+// buildStates combines the endpoints of the view with the newest reports.
+func (p *Plane) buildStates(now time.Time) []fleet.State {
+	if v := p.view(); v != p.sortedView {
+		p.sortedView = v
+		p.byID = slices.SortedFunc(maps.Values(v.Endpoints), func(a, b fleet.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+	out := make([]fleet.State, 0, len(p.byID))
+	for _, e := range p.byID {
 		s := fleet.State{Endpoint: e}
-		if r, ok := p.reports[e.Address]; ok {
+		r, ok := p.reports[e.Address]
+		if ok {
 			age := now.Sub(r.status.ReceivedAt)
 			s.KeeperSilent = age > keeperSilentAfter && age < keeperSilentFor
 		}
-		if r, ok := p.reports[e.Address]; ok && supersedes(r.status, e, now) {
+		if ok && supersedes(r.status, e, now) {
 			if r.endpoint != "" && r.endpoint != e.ID {
 				// The host runs another incarnation; the registered one is gone.
 				continue
@@ -214,17 +269,7 @@
 		}
 		out = append(out, s)
 	}
-	for a := range p.reports {
-		if !addrs[a] && now.Sub(p.reports[a].status.ReceivedAt) > keeperSilentFor {
-			delete(p.reports, a)
-		}
-	}
-	slices.SortFunc(out, func(a, b fleet.State) int { return compareIDs(a.ID, b.ID) })
-	p.snapshot.Store(&out)
-	if notify {
-		close(p.changed)
-		p.changed = make(chan struct{})
-	}
+	return out
 }
 
 // supersedes reports whether a keeper's report is used in place of the endpoint's registration.
@@ -242,16 +287,6 @@
 	}
 }
 
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // keeperAddr returns the address of the keeper beside an endpoint.
 func (p *Plane) keeperAddr(e fleet.Endpoint) (net.Addr, error) {
 	ap, err := netip.ParseAddrPort(e.Address)
@@ -389,15 +424,16 @@
 	changed := status.Sequence != r.status.Sequence || status.Alive != r.status.Alive || status.ExecutingOrder != r.status.ExecutingOrder || len(status.Models) != len(r.status.Models) || len(status.LoadingAdapters) > 0 || len(m.RefusedAdapters) > 0
 	r.incarnation, r.sequence, r.status, r.endpoint, r.gateways, r.refusedAdapters = m.KeeperIncarnation, m.MessageSequence, status, m.Endpoint, m.Gateways, m.RefusedAdapters
 	r.move = moveProgress{m.MoveFencingToken, m.MoveID, m.MoveDone}
-	p.rebuildSnapshot(changed)
+	p.outdated.Store(true)
+	if changed {
+		p.wakeWaiting()
+	}
 	for _, rec := range m.CrashRecords {
 		p.mergeCrashRecord(fromWire(rec))
 	}
 	if len(m.CachedPrefixes) > 0 {
-		for _, s := range *p.snapshot.Load() {
-			if s.Address == m.Address {
-				p.addPrefixes(s.Endpoint, m.CachedPrefixes)
-			}
+		if e, ok := p.view().Endpoints[m.Endpoint]; ok && e.Address == m.Address {
+			p.addPrefixes(e, m.CachedPrefixes)
 		}
 	}
 }
--- a/internal/transport/control/planner.go
+++ b/internal/transport/control/planner.go
@@ -443,7 +443,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := map[string]endpointReport{}
-	for _, s := range *p.snapshot.Load() {
+	for _, s := range p.statesLocked() {
 		if r, ok := p.reports[s.Address]; ok && s.StatusSupersedes {
 			out[s.ID] = endpointReport{state: s, move: r.move}
 		}
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -118,8 +118,8 @@
 	return m
 }
 
-// candidates returns the endpoints of the request's service with what the gateway knows of
-// them; gateways is the number of gateways that share an endpoint's rate limit.
+// candidates returns the endpoints that serve the request's model, or its service if it names
+// none, with what the gateway knows of them; gateways is the number of gateways that share an endpoint's rate limit.
 func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, gateways int, connected func(e fleet.Endpoint) bool) []pick.Candidate {
 	now := time.Now()
 	t.mu.Lock()
@@ -129,6 +129,11 @@
 		if s.Service != req.Service {
 			continue
 		}
+		if req.ModelName.Model != "" {
+			if held, _ := fleet.Holds(s.Residents(), req.ModelName); !held {
+				continue
+			}
+		}
 		r := t.endpoint(s.Endpoint)
 		c := pick.Candidate{State: s, Slots: s.Slots, InFlight: r.inFlight, Prefilling: r.prefilling, PrefillTokens: r.prefillTokens, Health: r.health, IdleConnection: connected(s.Endpoint)}
 		if c.Slots == 0 {
