pick, proxy: waits as shares of measured times and of the request's objective

Constants that were right for runs of seconds, loads of 3 s and objectives of 400 ms and more are wrong for engines with 24 slots, loads of 1.2 s and objectives of 100 and 250 ms: 300 ms for a slot, 400 ms for an adapter slot, 1.5 s for a load, 300 ms for an adapter at one engine, 250 ms for a dial. Change: the first three follow the measured time of a run and the configured time of a load; the last two are half of the request's objective within bounds.

--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -28,6 +28,16 @@
 	}
 }
 
+// dialWithin opens a connection within a time, or within the pool's own timeout if it is 0.
+func (p *Pool) dialWithin(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	return p.dial(ctx, addr)
+}
+
 // get returns a reusable idle connection, or nil. The most recently used goes first, so that
 // surplus connections reach their idle timeout.
 func (p *Pool) get(key string, now time.Time) *conn {
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -54,6 +54,9 @@
 	Trailer http.Header
 	// IDHeader is the header field that an endpoint echoes in its response; ID is its value.
 	IDHeader, ID string
+	// DialTimeout bounds the opening of a connection, in addition to the pool's timeout; 0 sets
+	// no further bound.
+	DialTimeout time.Duration
 }
 
 // Response is a response whose header has been read; the caller must call Close.
@@ -106,7 +109,7 @@
 	c := p.get(key, time.Now())
 	reused := c != nil
 	if c == nil {
-		nc, err := p.dial(ctx, addr)
+		nc, err := p.dialWithin(ctx, addr, req.DialTimeout)
 		if err != nil {
 			return nil, &Error{Stage: Unsent, Cause: err}
 		}
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -74,6 +74,16 @@
 	MeanPrefillTokens int
 	// MeanServiceTime is the mean time of a request at a plain service.
 	MeanServiceTime time.Duration
+	// MeanRunTime is the mean time from a request's dispatch to its end at an engine.
+	MeanRunTime time.Duration
+	// ModelLoadTime is the time to load a model from the weight store.
+	ModelLoadTime time.Duration
+}
+
+// slotWait returns the wait for a slot of an engine whose slots are all in use, with a number
+// of requests waiting before this one: a slot becomes free each run time divided by the slots.
+func (m LatencyModel) slotWait(slots, waiting int) time.Duration {
+	return m.MeanRunTime * time.Duration(waiting+1) / time.Duration(max(1, slots))
 }
 
 // Choice is the endpoint chosen for a request, with the estimates behind the choice.
@@ -121,9 +131,6 @@
 	newConnectionCost = 20 * time.Millisecond
 	// failureCost is the cost of an attempt that fails and is retried.
 	failureCost = 600 * time.Millisecond
-	// fullBatchWait is the wait for a slot in a full batch: a part of the time that a typical
-	// request runs.
-	fullBatchWait = 300 * time.Millisecond
 	// homeCachedShare is the part of the shared prompt that is assumed to be in the prefix
 	// cache of the prompt's home, even if this gateway sent nothing there, because all
 	// gateways prefer the same homes.
@@ -133,14 +140,18 @@
 	// prefillChunkStep is the time by which the prefill of a chunk of 2,048 prompt tokens delays
 	// an output token.
 	prefillChunkStep = 45 * time.Millisecond
-	// adapterSlotWait is the wait for an adapter slot while running requests use all of them: a
-	// part of the time that a typical request runs.
-	adapterSlotWait = 400 * time.Millisecond
-	// modelLoadWait is the wait for an adapter while the engine loads a model and accepts no
-	// order: half of a load of 3 s.
-	modelLoadWait = 1500 * time.Millisecond
+	// adapterSlotRunShare is the part of a typical run after which one of the adapters in use on
+	// an engine is free: its runs began at different times.
+	adapterSlotRunShare = 0.25
+	// modelLoadShare is the part of a model's load that is left on average, while the engine
+	// accepts no order for an adapter.
+	modelLoadShare = 0.5
+	// preemptionRuns is the time that a request loses, in typical runs, per unit of KV cache that
+	// is missing for it.
+	preemptionRuns = 2
 	// silentKeeperCost keeps requests off a host whose keeper is silent, because it may be
-	// frozen, as long as another host can take them.
+	// frozen, as long as another host can take them. A freeze lasts seconds whatever the
+	// request's objective is.
 	silentKeeperCost = 500 * time.Millisecond
 	// maxSilentPrefills bounds this gateway's requests that wait for a first token from an
 	// endpoint whose keeper is silent.
@@ -243,12 +254,12 @@
 	running := max(c.InFlight, c.State.Status.Running)
 	est += time.Duration(running) * stepPerRunning
 	if running >= c.Slots && c.Slots > 0 {
-		est += fullBatchWait
+		est += m.slotWait(c.Slots, c.State.Status.Waiting)
 	}
 	if s := c.State.Status; c.State.StatusSupersedes && s.KVTotalTokens > 0 {
 		kvShare := float64(s.KVUsedTokens+prefill+req.OutputTokens) / float64(s.KVTotalTokens)
 		if kvShare > kvPreemptionShare {
-			est += time.Duration((kvShare - kvPreemptionShare) * float64(10*fullBatchWait))
+			est += time.Duration((kvShare - kvPreemptionShare) * float64(preemptionRuns*m.MeanRunTime))
 		}
 	}
 	orders := 0
@@ -257,9 +268,9 @@
 		orders = 1
 		switch {
 		case c.State.StatusSupersedes && (c.State.Status.ExecutingOrder || len(c.State.Status.LoadingModels) > 0):
-			est += modelLoadWait
+			est += time.Duration(modelLoadShare * float64(m.ModelLoadTime))
 		case c.State.StatusSupersedes && c.State.Status.AdaptersInUse >= adapterSlots:
-			est += adapterSlotWait
+			est += time.Duration(adapterSlotRunShare * float64(m.MeanRunTime))
 		case adapterCount(c.State) >= adapterSlots:
 			est += adapterEvictTime
 			orders = 2
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -132,7 +132,11 @@
 	gateways := h.control.GatewayCount()
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
-	ch, ok := pick.Best(c.req, candidates, h.tracker.latencyModel(service.Name, c.req.ModelName.Model), now, adapterSlots, h.draw)
+	latency := h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
+	if service.Engine != nil {
+		latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
+	}
+	ch, ok := pick.Best(c.req, candidates, latency, now, adapterSlots, h.draw)
 	switch {
 	case ok:
 	case len(c.noAdapterSlot) > 0 && h.awaitAdapterSlot(c):
@@ -258,11 +262,30 @@
 	return fleet.State{}
 }
 
-// adapterLoadTimeout bounds the wait for an adapter, whose load takes some milliseconds.
-const adapterLoadTimeout = 300 * time.Millisecond
+const (
+	// adapterLoadObjectiveShare is the part of its objective that a request waits for an adapter
+	// at one endpoint. It is at least minAdapterLoadTimeout, in which a lost datagram to the
+	// keeper is sent again, and at most maxAdapterLoadTimeout: a load takes some milliseconds.
+	adapterLoadObjectiveShare = 0.5
+	minAdapterLoadTimeout     = 120 * time.Millisecond
+	maxAdapterLoadTimeout     = 300 * time.Millisecond
+	// dialObjectiveShare is the part of its objective in which a connection must open for a
+	// request. It is at least minDialTimeout, several round trips, and at most the pool's own
+	// timeout.
+	dialObjectiveShare = 0.5
+	minDialTimeout     = 80 * time.Millisecond
+)
+
+func adapterLoadTimeout(r fleet.Route) time.Duration {
+	return min(maxAdapterLoadTimeout, max(minAdapterLoadTimeout, time.Duration(adapterLoadObjectiveShare*float64(r.Objective))))
+}
+
+func dialTimeout(r fleet.Route) time.Duration {
+	return max(minDialTimeout, time.Duration(dialObjectiveShare*float64(r.Objective)))
+}
 
 func (h *Handler) loadAdapter(c *call, e fleet.Endpoint) error {
-	ctx, cancel := context.WithTimeout(c.ctx, adapterLoadTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, adapterLoadTimeout(c.route))
 	defer cancel()
 	return h.control.LoadAdapter(ctx, e, c.req.ModelName)
 }
@@ -320,7 +343,7 @@
 	sent := time.Now()
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &http1.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body, Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
-		IDHeader: h.cfg.Headers.RequestID, ID: c.id,
+		IDHeader: h.cfg.Headers.RequestID, ID: c.id, DialTimeout: dialTimeout(c.route),
 	})
 	if err != nil {
 		return h.requestFailed(c, e, err)
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -85,6 +85,9 @@
 	// initialServiceTime is the time of a typical plain call, assumed until calls have been
 	// measured.
 	initialServiceTime = 50 * time.Millisecond
+	// initialRunTime is the time of a typical run at an engine, assumed until runs have been
+	// measured.
+	initialRunTime = time.Second
 	// meanWeight is the weight of a new measurement in the moving means.
 	meanWeight = 0.05
 	// minRatioTokens is the number of prefill tokens above which a request is used to measure
@@ -113,7 +116,7 @@
 func (t *tracker) serviceLatencyModel(service string) pick.LatencyModel {
 	m, ok := t.latencyModels[service]
 	if !ok {
-		m = pick.LatencyModel{PrefillPerToken: initialPrefillPerToken, MeanPrefillTokens: initialPrefillTokens, MeanServiceTime: initialServiceTime}
+		m = pick.LatencyModel{PrefillPerToken: initialPrefillPerToken, MeanPrefillTokens: initialPrefillTokens, MeanServiceTime: initialServiceTime, MeanRunTime: initialRunTime}
 	}
 	return m
 }
@@ -174,6 +177,7 @@
 		r.usedAdapters[name] = struct{}{}
 	}
 	r.activeNames[name]++
+	began := time.Now()
 	prefilling, running := true, true
 	first = func() {
 		t.mu.Lock()
@@ -185,9 +189,17 @@
 		}
 	}
 	end = func() {
+		t.mu.Lock()
+		ran := running && !prefilling && req.ModelName.Model != ""
+		t.mu.Unlock()
 		first()
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if ran {
+			m := t.serviceLatencyModel(req.Service)
+			m.MeanRunTime += time.Duration(meanWeight * float64(time.Since(began)-m.MeanRunTime))
+			t.latencyModels[req.Service] = m
+		}
 		if running {
 			running = false
 			r.inFlight--
