fleet: look routes up in a map

The lookup scanned all routes of the configuration for each request, so that a configuration that grows by many routes slowed every request down. Prefixes begin and end with a slash: the lookup tries the request's path from the longest such part. BenchmarkRoute, 200, 2,000 and 20,000 routes: 531, 5,045 and 56,350 ns before, 44 ns each after.

--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"strings"
 	"time"
 )
@@ -34,17 +33,21 @@
 // Config is one version of the operators' configuration.
 type Config struct {
 	Version  uint64
-	routes   []Route
+	routes   map[routeKey]Route
 	services map[string]Service
 	Limits   Limits
 }
 
+// routeKey identifies a route by its host name in lower case and its prefix.
+type routeKey struct{ host, prefix string }
+
 // Limits bounds what a client may send.
 type Limits struct {
 	BodyBytes int64
 }
 
-// Route maps the requests of a host name and path prefix to services.
+// Route maps the requests of a host name and path prefix to services. Each prefix begins and
+// ends with a slash.
 type Route struct {
 	Name, Host, Prefix string
 	Kind               RouteKind
@@ -123,9 +126,13 @@
 
 // NewConfig returns a configuration.
 func NewConfig(version uint64, routes []Route, services []Service, limits Limits) Config {
-	c := Config{Version: version, routes: slices.Clone(routes), services: make(map[string]Service, len(services)), Limits: limits}
-	// Longer prefixes come first, so that the first match is the most specific.
-	slices.SortStableFunc(c.routes, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	c := Config{Version: version, routes: make(map[routeKey]Route, len(routes)), services: make(map[string]Service, len(services)), Limits: limits}
+	for _, r := range routes {
+		key := routeKey{strings.ToLower(r.Host), r.Prefix}
+		if _, known := c.routes[key]; !known {
+			c.routes[key] = r
+		}
+	}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
@@ -138,12 +145,17 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	for _, r := range c.routes {
-		if strings.HasPrefix(path, r.Prefix) && strings.EqualFold(r.Host, host) {
+	host = strings.ToLower(host)
+	for {
+		i := strings.LastIndexByte(path, '/')
+		if i < 0 {
+			return Route{}, false
+		}
+		if r, ok := c.routes[routeKey{host, path[:i+1]}]; ok {
 			return r, true
 		}
+		path = path[:i]
 	}
-	return Route{}, false
 }
 
 // Service returns a service by name.
