pick: each gateway prefers engines of its own

Callers of deployments with many gateways saw the pauses that the cost of stalls avoids with few. Cause: gateways don't see each other's requests, and a keeper's report is older than a prompt takes to prefill. The more gateways send to an engine, the less each knows of what it has to prefill now; all of them follow the same reports to the same engine. Change: a cost by rendezvous hash of gateway and engine, in proportion to the number of gateways; queues, cached prompts and adapters outweigh it.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -99,7 +99,7 @@
 		return fail(err)
 	}
 	g.handler = proxy.New(proxy.Settings{
-		Headers: headers, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
+		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -26,8 +26,10 @@
 	SharedParts int
 	// OutputTokens is the largest number of output tokens.
 	OutputTokens int
-	// FailureDomain is the gateway's failure domain.
-	FailureDomain string
+	// FailureDomain is the gateway's failure domain, Gateway its name, and Gateways the number of
+	// gateways in the deployment.
+	FailureDomain, Gateway string
+	Gateways               int
 	// GapObjective is the latency objective for the gap between two events of a stream, or 0.
 	GapObjective time.Duration
 	// HeldOnly excludes endpoints that would have to load the adapter first.
@@ -285,7 +287,7 @@
 	if c.State.KeeperSilent {
 		cost += silentKeeperCost
 	}
-	cost += extraCost(req, c, now)
+	cost += extraCost(req, c, now) + affinityCost(req.Gateway, c.State.ID, req.Gateways)
 	return Choice{ID: c.State.ID, Estimate: est, LoadAdapter: !resident, PrefillTokens: prefill, BacklogTokens: backlog, BacklogTime: time.Duration(backlog) * m.PrefillPerToken}, cost
 }
 
--- a/internal/state/pick/stall.go
+++ b/internal/state/pick/stall.go
@@ -1,6 +1,11 @@
 package pick
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"chervilhead/internal/state/poison"
+)
 
 // stallCost returns the cost of making the streams at an endpoint miss their gap objective. An
 // engine prefills a chunk of a prompt between two steps of its running streams. If the prompts
@@ -15,3 +20,23 @@
 	busy := float64(sent+prefillTokens) * float64(perToken) / float64(gap)
 	return time.Duration(busy * busy * busy * float64(gap))
 }
+
+const (
+	// affinityPerGateway is the cost by which the endpoints differ for one gateway, for each
+	// gateway of the deployment.
+	affinityPerGateway = 2500 * time.Microsecond
+	// maxAffinity bounds that cost, so that a queue outweighs it.
+	maxAffinity = 80 * time.Millisecond
+)
+
+// affinityCost returns a cost between 0 and a maximum that differs by gateway and endpoint. It
+// gives each gateway endpoints of its own to prefer. Gateways don't see each other's requests,
+// and a report is older than a prompt takes to prefill: the more gateways send to one
+// endpoint, the less each knows of what it has to prefill now.
+func affinityCost(gateway, endpoint string, gateways int) time.Duration {
+	if gateway == "" {
+		return 0
+	}
+	spread := min(maxAffinity, time.Duration(gateways)*affinityPerGateway)
+	return time.Duration(float64(poison.RendezvousWeight(gateway, endpoint)) / math.MaxUint64 * float64(spread))
+}
--- a/internal/state/pick/stall_test.go
+++ b/internal/state/pick/stall_test.go
@@ -41,14 +41,14 @@
 }
 
 const (
-	simStep          = 5230 * time.Microsecond
-	simPrefillToken  = 26 * time.Microsecond
-	simChunk         = 1024
-	simGapObjective  = 150 * time.Millisecond
-	simFirst         = 250 * time.Millisecond
-	simGateways      = 5
-	simReportPeriod  = 200 * time.Millisecond
-	simArrivalPerSec = 100
+	simStep         = 5230 * time.Microsecond
+	simPrefillToken = 26 * time.Microsecond
+	simChunk        = 1024
+	simGapObjective = 150 * time.Millisecond
+	simFirst        = 250 * time.Millisecond
+	simReportPeriod = 200 * time.Millisecond
+	// simRatePerEngine is half of what an engine can serve.
+	simRatePerEngine = 17
 )
 
 // step runs one step of the engine that ends after now, and completes streams.
@@ -94,11 +94,18 @@
 	e.running = running
 }
 
-// playStalls plays ten seconds of streams over six engines and returns the share of streams
-// that missed the objective of their first event and that of their gaps.
-func playStalls(seed uint64, gapObjective time.Duration) (lateFirst, lateGap float64) {
+// fleetSize is the size of a played deployment.
+type fleetSize struct{ gateways, engines int }
+
+// policy is what the choice considers.
+type policy struct{ stalls, affinity bool }
+
+// playStalls plays streams over a fleet and returns the share of streams that missed the
+// objective of their first event and that of their gaps. Some gateways get more requests than
+// others.
+func playStalls(seed uint64, size fleetSize, length time.Duration, pol policy) (lateFirst, lateGap float64) {
 	rnd, draws := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
-	engines := make([]*simEngine, 6)
+	engines := make([]*simEngine, size.engines)
 	for i := range engines {
 		engines[i] = &simEngine{slowdown: []float64{1, 1, 1.3}[i%3]}
 	}
@@ -107,7 +114,7 @@
 		sent   []simPrefill
 		open   []*simStream
 	}
-	gateways := make([][]own, simGateways)
+	gateways := make([][]own, size.gateways)
 	for i := range gateways {
 		gateways[i] = make([]own, len(engines))
 	}
@@ -132,7 +139,7 @@
 		}
 		return n
 	}
-	for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
+	for now := time.Duration(0); now < length; now += time.Millisecond {
 		for _, e := range engines {
 			if now >= e.busyUntil {
 				e.step(now, done)
@@ -141,10 +148,17 @@
 				e.report = simReport{at: now, prefilling: len(e.queue), running: len(e.running) + len(e.queue)}
 			}
 		}
-		for ; next <= now; next += time.Duration(rnd.ExpFloat64() * float64(time.Second) / simArrivalPerSec) {
-			g := gateways[rnd.IntN(simGateways)]
+		for ; next <= now; next += time.Duration(rnd.ExpFloat64() * float64(time.Second) / float64(simRatePerEngine*size.engines)) {
+			n := min(rnd.IntN(size.gateways), rnd.IntN(size.gateways))
+			g := gateways[n]
 			prompt := 100 + int(rnd.ExpFloat64()*440)
-			req := Request{Service: "s", ModelName: fleet.ModelName{Model: "m"}, Parts: []PromptPart{{Tokens: prompt}}, FailureDomain: "z", GapObjective: gapObjective}
+			req := Request{Service: "s", ModelName: fleet.ModelName{Model: "m"}, Parts: []PromptPart{{Tokens: prompt}}, FailureDomain: "z"}
+			if pol.stalls {
+				req.GapObjective = simGapObjective
+			}
+			if pol.affinity {
+				req.Gateway, req.Gateways = fmt.Sprint("g", n), size.gateways
+			}
 			var list []Candidate
 			for i, e := range engines {
 				c := Candidate{Slots: 64, IdleConnection: true, State: fleet.State{
@@ -169,7 +183,7 @@
 					}
 				}
 				c.Health = g[i].health
-				c.SentTokens = sum(g[i].sent, now-gapObjective)
+				c.SentTokens = sum(g[i].sent, now-simGapObjective)
 				list = append(list, c)
 			}
 			ch, ok := Best(req, list, m, testTime.Add(now), 8, draws.Float64)
@@ -190,21 +204,38 @@
 }
 
 // TestStallsAvoided plays streams with a gap objective of 150 ms at half of the engines'
-// capacity, where prompts that arrive together at one engine hold its streams up. A quarter of
-// the late ones at least are in time if the choice considers the gap objective.
+// capacity, where prompts that arrive together at one engine hold its streams up. It guards
+// against a choice in which the gap objective or the gateways' affinity no longer helps.
 func TestStallsAvoided(t *testing.T) {
-	var first, gap, firstIgnored, gapIgnored float64
-	for seed := range uint64(24) {
-		f, g := playStalls(seed, simGapObjective)
-		first, gap = first+f/24, gap+g/24
-		f, g = playStalls(seed, 0)
-		firstIgnored, gapIgnored = firstIgnored+f/24, gapIgnored+g/24
-	}
-	t.Logf("late first event %.4f (%.4f if gaps are ignored), late gap %.4f (%.4f)", first, firstIgnored, gap, gapIgnored)
-	if gap > 0.75*gapIgnored {
-		t.Errorf("%.3f of the streams miss their gap objective, %.3f if the choice ignores it", gap, gapIgnored)
-	}
-	if first > firstIgnored+0.01 {
-		t.Errorf("%.3f of the streams begin late, %.3f if the choice ignores gaps", first, firstIgnored)
+	for _, tc := range []struct {
+		size  fleetSize
+		seeds uint64
+		// maxShare bounds the late streams, as a share of those that are late if the choice
+		// considers neither.
+		maxShare float64
+	}{
+		{fleetSize{5, 6}, 24, 0.75},
+		{fleetSize{15, 24}, 4, 0.75},
+	} {
+		t.Run(fmt.Sprintf("%d gateways, %d engines", tc.size.gateways, tc.size.engines), func(t *testing.T) {
+			mean := func(pol policy) (first, gap float64) {
+				for seed := range tc.seeds {
+					f, g := playStalls(seed, tc.size, 8*time.Second, pol)
+					first, gap = first+f/float64(tc.seeds), gap+g/float64(tc.seeds)
+				}
+				return first, gap
+			}
+			firstBefore, before := mean(policy{})
+			_, stalls := mean(policy{stalls: true})
+			_, affinity := mean(policy{affinity: true})
+			first, both := mean(policy{stalls: true, affinity: true})
+			t.Logf("late gap: %.3f, with stalls %.3f, with affinity %.3f, with both %.3f; late first event %.4f, with both %.4f", before, stalls, affinity, both, firstBefore, first)
+			if both > tc.maxShare*before {
+				t.Errorf("%.3f of the streams miss their gap objective, %.3f if the choice considers neither", both, before)
+			}
+			if first > firstBefore+0.01 {
+				t.Errorf("%.3f of the streams begin late, %.3f if the choice considers neither", first, firstBefore)
+			}
+		})
 	}
 }
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -130,6 +130,7 @@
 	}
 	now := time.Now()
 	gateways := h.control.GatewayCount()
+	c.req.Gateways = gateways
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
 	latency := h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -50,8 +50,8 @@
 // Settings configure a handler.
 type Settings struct {
 	Headers HeaderNames
-	// FailureDomain is the gateway's failure domain.
-	FailureDomain string
+	// GatewayID is the gateway's name, FailureDomain its failure domain.
+	GatewayID, FailureDomain string
 	RetryBudget   budget.Limit
 	// Random supplies the draws that keep gateways from acting in step; nil uses a random source.
 	Random jitter.Random
@@ -292,7 +292,7 @@
 
 // parseRequest parses the headers on which the choice of an endpoint depends.
 func (h *Handler) parseRequest(c *call, service fleet.Service) pick.Request {
-	req := pick.Request{Service: service.Name, FailureDomain: h.cfg.FailureDomain}
+	req := pick.Request{Service: service.Name, Gateway: h.cfg.GatewayID, FailureDomain: h.cfg.FailureDomain}
 	if service.Engine == nil {
 		return req
 	}
