keeper, control: load reports at the rate of their use

Change: a gateway asks for the usual interval of engines that it sent a request to in the last 3 s, and for one report a second of the others. A change of models, adapters, orders or life is reported to all at once. The suspicion of a silent host follows the interval that was asked for. Subscriptions to unused engines are sent a third as often.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -104,7 +104,7 @@
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
-	plane.SetHooks(g.handler.TakeUsage, g.handler.AddCachedPrefixes, g.handler.MergeCrashRecord)
+	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord})
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -17,9 +17,7 @@
 const (
 	// pollInterval is the pause between reads of the engine's report, which cost nothing on its host.
 	pollInterval = 100 * time.Millisecond
-	// minStateInterval is the pause between states sent to gateways while only the load changes.
-	minStateInterval = 200 * time.Millisecond
-	// heartbeatInterval is the longest pause between states sent to gateways.
+	// heartbeatInterval is the time between states sent to the gateways that use the engine.
 	heartbeatInterval = 200 * time.Millisecond
 	// EngineTimeout bounds a keeper's call of the engine on its host.
 	EngineTimeout = 400 * time.Millisecond
@@ -38,7 +36,7 @@
 func StartKeeper(cfg config.Keeper, engine keeper.Engine, src watch.Source, reg *prometheus.Registry, log *logrus.Entry) (*Keeper, error) {
 	k, err := keeper.New(keeper.Settings{
 		Holder: cfg.ID, Service: cfg.Endpoint.Service, Address: cfg.Endpoint.Address, Listen: cfg.Listen.Datagrams,
-		PollInterval: pollInterval, MinStateInterval: minStateInterval, HeartbeatInterval: heartbeatInterval,
+		PollInterval: pollInterval, HeartbeatInterval: heartbeatInterval,
 	}, engine, src, log)
 	if err != nil {
 		return nil, err
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -28,6 +28,9 @@
 	Incarnation int64
 	// EngineConfigHash is the hash of the engine's configuration at the gateway.
 	EngineConfigHash uint64
+	// ReportInterval is the longest time between two reports that the gateway asks for; 0 means
+	// the keeper's own interval. A change other than of the load is reported at once.
+	ReportInterval time.Duration
 	// UsedAdapters are the adapters that requests used on the endpoint since the last message.
 	UsedAdapters []string
 	// CachedPrefixes are the hashes of shared prompt prefixes that the endpoint has prefilled
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -44,9 +44,15 @@
 	// trustedReportAge is the age up to which a report takes precedence over the registration.
 	// A registration may be as old as one heartbeat interval and one poll interval.
 	trustedReportAge = 1800 * time.Millisecond
-	// keeperSilentAfter is the age of a keeper's newest report from which its host is suspected
-	// of being frozen: more than two heartbeat intervals and the wait for a lost datagram.
+	// keeperSilentAfter is the age of the newest report of a keeper whose engine is in use from
+	// which its host is suspected of being frozen: more than two heartbeat intervals and the
+	// wait for a lost datagram.
 	keeperSilentAfter = 650 * time.Millisecond
+	// idleReportInterval is the time between reports on the load of engines that this gateway
+	// doesn't use. There are as many of them as the deployment has engines.
+	idleReportInterval = time.Second
+	// idleKeeperSilentAfter is keeperSilentAfter for the keepers of these engines.
+	idleKeeperSilentAfter = idleReportInterval + keeperSilentAfter
 	// keeperSilentFor is the age at which the suspicion ends, because a keeper may be gone while
 	// its endpoint is alive.
 	keeperSilentFor = 20 * time.Second
@@ -56,10 +62,13 @@
 	// maxSnapshotAge is the age from which the states are computed anew even without a report,
 	// because a keeper may have fallen silent.
 	maxSnapshotAge = 50 * time.Millisecond
-	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to all keepers, the
-	// others to those that never reported. After a loss of all hosts, keepers start some tenths
-	// of a second apart.
+	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to the keepers of all
+	// engines in use, each one to those that never reported. After a loss of all hosts, keepers
+	// start some tenths of a second apart.
 	ticksPerSubscription = 4
+	// ticksPerIdleSubscription is the number of ticks between subscriptions to the keeper of an
+	// engine that isn't in use; it is several times in a subscription's life.
+	ticksPerIdleSubscription = 3 * ticksPerSubscription
 	// defaultGatewayCount is assumed until a keeper has reported the number of gateways.
 	defaultGatewayCount = 8
 )
@@ -84,14 +93,9 @@
 
 // Plane holds the newest keeper reports and the gateway's part in planning.
 type Plane struct {
-	cfg  Settings
-	view func() *watch.View
-	// takeUsage returns the adapters and the hashes of the prompt prefixes used on an endpoint
-	// since the last call; addPrefixes takes hashes that other gateways report.
-	takeUsage   func(id string) (adapters []string, prefixes []uint64)
-	addPrefixes func(e fleet.Endpoint, prefixes []uint64)
-	// mergeCrashRecord takes crash records from other gateways.
-	mergeCrashRecord func(rec poison.CrashRecord)
+	cfg   Settings
+	view  func() *watch.View
+	hooks Hooks
 	// observe takes the planner's observations of the store.
 	observe func(watch.Observation)
 	conn    net.PacketConn
@@ -101,8 +105,11 @@
 
 	mu sync.Mutex
 	// reports holds the keepers' newest reports, by address of the endpoint.
-	reports      map[string]*report
-	known        map[string]bool
+	reports map[string]*report
+	known   map[string]bool
+	// usedSince holds, by endpoint id, the time from which this gateway asks for reports at the
+	// keeper's own interval.
+	usedSince    map[string]time.Time
 	changed      chan struct{}
 	demand       *demandMeter
 	planner      *planner
@@ -131,22 +138,35 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	p := &Plane{
-		cfg: cfg, view: view, takeUsage: func(string) ([]string, []uint64) { return nil, nil }, addPrefixes: func(fleet.Endpoint, []uint64) {}, mergeCrashRecord: func(poison.CrashRecord) {},
+		cfg: cfg, view: view,
+		hooks: Hooks{
+			TakeUsage: func(string) ([]string, []uint64) { return nil, nil }, RecentlyUsed: func(string) bool { return false },
+			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashRecord: func(poison.CrashRecord) {},
+		},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
-		startedAt: time.Now(), reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemandMeter(),
+		startedAt: time.Now(), reports: map[string]*report{}, usedSince: map[string]time.Time{}, changed: make(chan struct{}), demand: newDemandMeter(),
 	}
 	p.planner = newPlanner(p, lease, table)
 	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
 
-// SetHooks sets the function that returns the adapters and prompt prefixes used on an endpoint
-// since its last call, and those that take prefixes and crash records from other gateways. It
-// must be called before Run.
-func (p *Plane) SetHooks(takeUsage func(id string) ([]string, []uint64), addPrefixes func(fleet.Endpoint, []uint64), mergeCrashRecord func(poison.CrashRecord)) {
-	p.takeUsage, p.addPrefixes, p.mergeCrashRecord = takeUsage, addPrefixes, mergeCrashRecord
+// Hooks connect a Plane to the part of the gateway that handles requests.
+type Hooks struct {
+	// TakeUsage returns the adapters and the hashes of the prompt prefixes used on an endpoint
+	// since the last call.
+	TakeUsage func(id string) (adapters []string, prefixes []uint64)
+	// RecentlyUsed reports whether the gateway has sent an endpoint a request lately.
+	RecentlyUsed func(id string) bool
+	// AddPrefixes takes hashes of prompt prefixes, MergeCrashRecord crash records, from other
+	// gateways.
+	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
+	MergeCrashRecord func(rec poison.CrashRecord)
 }
 
+// SetHooks sets the hooks. It must be called before Run.
+func (p *Plane) SetHooks(h Hooks) { p.hooks = h }
+
 // OnObservation sets the function that takes the planner's observations of the store. It must
 // be called before Run.
 func (p *Plane) OnObservation(observe func(watch.Observation)) { p.observe = observe }
@@ -162,11 +182,7 @@
 		tick := time.NewTicker(p.cfg.SubscribeInterval / ticksPerSubscription)
 		defer tick.Stop()
 		for n := 0; ; n++ {
-			if n%ticksPerSubscription == 0 {
-				p.subscribeAll()
-			} else {
-				p.subscribeUnreported()
-			}
+			p.subscribeDue(n, time.Now())
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
@@ -257,8 +273,7 @@
 		s := fleet.State{Endpoint: e}
 		r, ok := p.reports[e.Address]
 		if ok {
-			age := now.Sub(r.status.ReceivedAt)
-			s.KeeperSilent = age > keeperSilentAfter && age < keeperSilentFor
+			s.KeeperSilent = p.keeperSilent(e.ID, r.status.ReceivedAt, now)
 		}
 		if ok && supersedes(r.status, e, now) {
 			if r.endpoint != "" && r.endpoint != e.ID {
@@ -272,6 +287,19 @@
 	return out
 }
 
+// keeperSilent reports whether the keeper of an endpoint last reported so long ago that its host
+// may be frozen.
+func (p *Plane) keeperSilent(id string, reportedAt, now time.Time) bool {
+	age := now.Sub(reportedAt)
+	if age >= keeperSilentFor {
+		return false
+	}
+	if since, used := p.usedSince[id]; used && now.Sub(since) > keeperSilentAfter {
+		return age > keeperSilentAfter
+	}
+	return age > idleKeeperSilentAfter
+}
+
 // supersedes reports whether a keeper's report is used in place of the endpoint's registration.
 // A registration is written about once a second; a report that is older than that may date
 // from before the endpoint's restart.
@@ -308,29 +336,46 @@
 	return s.Engine
 }
 
-func (p *Plane) subscribeAll() {
+// subscribeDue sends the subscriptions that are due at a tick: to keepers that never reported,
+// to those of engines that are in use or have just come into use, and to a part of the others.
+// It returns their number.
+func (p *Plane) subscribeDue(tick int, now time.Time) int {
 	v := p.view()
-	p.subscribe(v, slices.Collect(maps.Values(v.Endpoints)))
-}
-
-// subscribeUnreported subscribes to the keepers that never reported.
-func (p *Plane) subscribeUnreported() {
-	v := p.view()
-	var unreported []fleet.Endpoint
+	var due []fleet.Endpoint
 	p.mu.Lock()
 	for _, e := range v.Endpoints {
-		if _, reported := p.reports[e.Address]; !reported {
-			unreported = append(unreported, e)
+		_, reported := p.reports[e.Address]
+		_, wasUsed := p.usedSince[e.ID]
+		used := p.hooks.RecentlyUsed(e.ID)
+		switch {
+		case used && !wasUsed:
+			p.usedSince[e.ID] = now
+		case !used && wasUsed:
+			delete(p.usedSince, e.ID)
+		}
+		period := ticksPerIdleSubscription
+		if used {
+			period = ticksPerSubscription
+		}
+		// The id spreads the subscriptions over the ticks.
+		if !reported || used && !wasUsed || (uint64(tick)+poison.RendezvousWeight("tick", e.ID))%uint64(period) == 0 {
+			due = append(due, e)
+		}
+	}
+	for id := range p.usedSince {
+		if _, listed := v.Endpoints[id]; !listed {
+			delete(p.usedSince, id)
 		}
 	}
 	p.mu.Unlock()
-	p.subscribe(v, unreported)
+	p.subscribe(v, due)
+	return len(due)
 }
 
 func (p *Plane) subscribe(v *watch.View, endpoints []fleet.Endpoint) {
 	for _, e := range endpoints {
 		if spec := p.engineSpec(v, e); spec != nil {
-			adapters, prefixes := p.takeUsage(e.ID)
+			adapters, prefixes := p.hooks.TakeUsage(e.ID)
 			p.send(e, &dgram.KeeperRequest{UsedAdapters: adapters, CachedPrefixes: prefixes, EngineConfigHash: p.engineConfigHash(v.Config.Version, e.Service, spec)})
 		}
 	}
@@ -338,6 +383,9 @@
 
 func (p *Plane) send(e fleet.Endpoint, req *dgram.KeeperRequest) {
 	req.Gateway, req.Endpoint, req.Incarnation = p.cfg.GatewayID, e.ID, e.Incarnation
+	if !p.hooks.RecentlyUsed(e.ID) {
+		req.ReportInterval = idleReportInterval
+	}
 	addr, err := p.keeperAddr(e)
 	if err == nil {
 		var data []byte
@@ -429,11 +477,11 @@
 		p.wakeWaiting()
 	}
 	for _, rec := range m.CrashRecords {
-		p.mergeCrashRecord(fromWire(rec))
+		p.hooks.MergeCrashRecord(fromWire(rec))
 	}
 	if len(m.CachedPrefixes) > 0 {
 		if e, ok := p.view().Endpoints[m.Endpoint]; ok && e.Address == m.Address {
-			p.addPrefixes(e, m.CachedPrefixes)
+			p.hooks.AddPrefixes(e, m.CachedPrefixes)
 		}
 	}
 }
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -175,7 +175,7 @@
 		view.Endpoints[ep.ID] = ep
 		k, err := keeper.New(keeper.Settings{
 			Holder: "h" + e.id, Service: "s", Address: ep.Address, Listen: net.JoinHostPort(ip, strconv.Itoa(port)),
-			PollInterval: 10 * time.Millisecond, MinStateInterval: 10 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+			PollInterval: 10 * time.Millisecond, HeartbeatInterval: 10 * time.Millisecond,
 		}, e, staticSource{cfg}, entry)
 		if err != nil {
 			t.Skipf("loopback addresses beside 127.0.0.1 are needed: %v", err)
@@ -189,12 +189,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.plane.SetHooks(func(id string) ([]string, []uint64) {
-		if id == "e0" && c.adapterInUse.Load() {
-			return []string{"a/x"}, nil
-		}
-		return nil, nil
-	}, func(fleet.Endpoint, []uint64) {}, func(m poison.CrashRecord) { c.crashRecords <- m })
+	c.plane.SetHooks(Hooks{
+		TakeUsage: func(id string) ([]string, []uint64) {
+			if id == "e0" && c.adapterInUse.Load() {
+				return []string{"a/x"}, nil
+			}
+			return nil, nil
+		},
+		RecentlyUsed:     func(string) bool { return true },
+		AddPrefixes:      func(fleet.Endpoint, []uint64) {},
+		MergeCrashRecord: func(m poison.CrashRecord) { c.crashRecords <- m },
+	})
 	wg.Go(func() { c.plane.Run(ctx) })
 	return c
 }
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -28,15 +28,18 @@
 	Listen string
 	// PollInterval is the pause between reads of the engine's report.
 	PollInterval time.Duration
-	// MinStateInterval is the shortest pause between endpoint state reports that differ in
-	// the load only, HeartbeatInterval the longest pause between any two.
-	MinStateInterval, HeartbeatInterval time.Duration
+	// HeartbeatInterval is the time between endpoint state reports that differ in the load
+	// only, to gateways that ask for no longer one.
+	HeartbeatInterval time.Duration
 }
 
 const (
 	// subscriptionTimeout is how long a gateway stays subscribed after a request; it sends
 	// several in that time.
 	subscriptionTimeout = 4 * time.Second
+	// maxReportInterval bounds the interval between reports that a gateway may ask for, so that
+	// its subscription lasts longer.
+	maxReportInterval = 2 * time.Second
 	// wantedAdapterTTL is how long an adapter stays wanted after a request for it; further
 	// requests in that time don't extend it.
 	wantedAdapterTTL = 500 * time.Millisecond
@@ -73,7 +76,11 @@
 
 type subscriber struct {
 	gateway  string
+	addr     net.Addr
 	lastSeen time.Time
+	// interval is the time between reports that differ in the load only.
+	interval   time.Duration
+	lastSentAt time.Time
 }
 
 // Keeper polls one engine, gives it orders and reports its state to the gateways.
@@ -86,10 +93,9 @@
 	wake        chan struct{}
 	incarnation int64
 
-	mu              sync.Mutex
-	subscribers     map[string]subscriber
-	subscriberAddrs map[string]net.Addr
-	endpoint        string
+	mu          sync.Mutex
+	subscribers map[string]*subscriber
+	endpoint    string
 	// identified is set while endpoint is the id that the engine itself reported.
 	identified    bool
 	report        Report
@@ -122,7 +128,8 @@
 	storeLoads      []time.Time
 	messageSequence uint64
 	lastState       dgram.EndpointState
-	lastSentAt      time.Time
+	// reportDue is set while all subscribers are to get a report at once.
+	reportDue bool
 }
 
 // New returns a keeper that listens for datagrams; Run starts it.
@@ -133,7 +140,7 @@
 	}
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), configWake: make(chan struct{}, 1), incarnation: time.Now().UnixNano(),
-		subscribers: map[string]subscriber{}, subscriberAddrs: map[string]net.Addr{},
+		subscribers:    map[string]*subscriber{},
 		wantedAdapters: map[fleet.ModelName]time.Time{}, lastUsed: map[fleet.ModelName]time.Time{}, refusedAdapters: map[fleet.ModelName]time.Time{}, cachedPrefixes: map[uint64]time.Time{}, crashRecords: map[string]receivedCrashRecord{},
 	}, nil
 }
@@ -284,14 +291,26 @@
 	for a, s := range k.subscribers {
 		if now.Sub(s.lastSeen) > subscriptionTimeout {
 			delete(k.subscribers, a)
-			delete(k.subscriberAddrs, a)
 		}
 	}
 	st.Gateways = len(k.subscribers)
-	if since := now.Sub(k.lastSentAt); since < k.cfg.MinStateInterval && equalExceptLoad(st, k.lastState) || since < k.cfg.HeartbeatInterval && reflect.DeepEqual(st, k.lastState) {
+	k.sendReport(st, now)
+}
+
+// sendReport sends an endpoint state report to the gateways that are due one: all of them if
+// more than the load has changed.
+func (k *Keeper) sendReport(st dgram.EndpointState, now time.Time) {
+	all := k.reportDue || !equalExceptLoad(st, k.lastState)
+	k.lastState, k.reportDue = st, false
+	var due []*subscriber
+	for _, s := range k.subscribers {
+		if all || now.Sub(s.lastSentAt) >= s.interval {
+			due = append(due, s)
+		}
+	}
+	if len(due) == 0 {
 		return
 	}
-	k.lastState, k.lastSentAt = st, now
 	k.messageSequence++
 	st.KeeperIncarnation, st.MessageSequence = k.incarnation, k.messageSequence
 	data, err := dgram.Encode(&st)
@@ -299,18 +318,19 @@
 		k.log.WithError(err).Error("the endpoint state report could not be encoded")
 		return
 	}
-	for _, a := range k.subscriberAddrs {
-		if _, err := k.conn.WriteTo(data, a); err != nil {
-			k.log.WithError(err).WithField("gateway", a.String()).Debug("an endpoint state report could not be sent")
+	for _, s := range due {
+		s.lastSentAt = now
+		if _, err := k.conn.WriteTo(data, s.addr); err != nil {
+			k.log.WithError(err).WithField("gateway", s.gateway).Debug("an endpoint state report could not be sent")
 		}
 	}
 }
 
 // equalExceptLoad reports whether two reports agree in all that must be sent at once; the
-// rest, mostly the load, may wait for MinStateInterval.
+// rest, mostly the load, may wait for each subscriber's interval.
 func equalExceptLoad(a, b dgram.EndpointState) bool {
 	return a.Alive == b.Alive && a.Endpoint == b.Endpoint && a.Incarnation == b.Incarnation && a.OrderSequence == b.OrderSequence && a.ExecutingOrder == b.ExecutingOrder && a.MoveDone == b.MoveDone && a.MoveID == b.MoveID &&
-		a.Gateways == b.Gateways && slices.Equal(a.RefusedAdapters, b.RefusedAdapters) && slices.Equal(a.LoadingModels, b.LoadingModels) && reflect.DeepEqual(a.Models, b.Models)
+		slices.Equal(a.RefusedAdapters, b.RefusedAdapters) && slices.Equal(a.LoadingModels, b.LoadingModels) && reflect.DeepEqual(a.Models, b.Models)
 }
 
 // unloadingForMove reports whether the planner's current move unloads a model.
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,13 +39,7 @@
 		}
 		k.mu.Lock()
 		urgent := k.applyRequest(req, from.String(), time.Now())
-		if _, known := k.subscribers[from.String()]; known || len(k.subscribers) < maxSubscribers {
-			if !known {
-				k.lastSentAt = time.Time{}
-			}
-			k.subscribers[from.String()] = subscriber{gateway: req.Gateway, lastSeen: time.Now()}
-			k.subscriberAddrs[from.String()] = from
-		}
+		k.subscribe(req, from, time.Now())
 		k.mu.Unlock()
 		if urgent {
 			select {
@@ -55,6 +50,22 @@
 	}
 }
 
+// subscribe records that a gateway is to get reports; a new one gets the first at the next poll.
+func (k *Keeper) subscribe(req *dgram.KeeperRequest, from net.Addr, now time.Time) {
+	s, known := k.subscribers[from.String()]
+	if !known {
+		if len(k.subscribers) >= maxSubscribers {
+			return
+		}
+		s = &subscriber{addr: from}
+		k.subscribers[from.String()] = s
+	}
+	s.gateway, s.lastSeen, s.interval = req.Gateway, now, k.cfg.HeartbeatInterval
+	if req.ReportInterval > 0 {
+		s.interval = max(s.interval, min(req.ReportInterval, maxReportInterval))
+	}
+}
+
 // applyRequest records a gateway's request. It returns true if the request may lead to an
 // order or carries crash records, so that it is handled before the next poll.
 func (k *Keeper) applyRequest(req *dgram.KeeperRequest, from string, now time.Time) bool {
@@ -76,7 +87,7 @@
 	for _, m := range req.CrashRecords {
 		if _, known := k.crashRecords[m.Fingerprint]; known || len(k.crashRecords) < maxCrashRecords {
 			k.crashRecords[m.Fingerprint] = receivedCrashRecord{record: m, receivedAt: now}
-			k.lastSentAt = time.Time{}
+			k.reportDue = true
 		}
 	}
 	urgent := len(req.CrashRecords) > 0
@@ -84,7 +95,7 @@
 		n := fleet.ParseModelName(w)
 		if _, held := fleet.Holds(k.report.Models, n); held {
 			// The gateway missed the report that lists the adapter.
-			k.lastSentAt = time.Time{}
+			k.reportDue = true
 		}
 		if _, ok := k.wantedAdapters[n]; !ok {
 			k.wantedAdapters[n] = now
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -52,7 +52,7 @@
 	Headers HeaderNames
 	// GatewayID is the gateway's name, FailureDomain its failure domain.
 	GatewayID, FailureDomain string
-	RetryBudget   budget.Limit
+	RetryBudget              budget.Limit
 	// Random supplies the draws that keep gateways from acting in step; nil uses a random source.
 	Random jitter.Random
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
@@ -95,6 +95,9 @@
 	return h.tracker.takeUsedAdapters(id), h.tracker.takePrefilledPrefixes(id)
 }
 
+// RecentlyUsed reports whether the gateway has sent an endpoint a request lately.
+func (h *Handler) RecentlyUsed(id string) bool { return h.tracker.recentlyUsed(id, time.Now()) }
+
 // AddCachedPrefixes adds hashes of shared prompt prefixes that an endpoint has prefilled for
 // other gateways.
 func (h *Handler) AddCachedPrefixes(e fleet.Endpoint, hashes []uint64) { h.tracker.merge(e, hashes) }
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -211,6 +211,18 @@
 	return first, end
 }
 
+// recentUse is how long an endpoint counts as recently used after a request: a gateway returns
+// to it within that time if it needs it at all.
+const recentUse = 3 * time.Second
+
+// recentlyUsed reports whether an endpoint has a request in flight or was sent one lately.
+func (t *tracker) recentlyUsed(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.endpoints[id]
+	return ok && (r.inFlight > 0 || len(r.sends) > 0 && now.Sub(r.sends[len(r.sends)-1].at) < recentUse)
+}
+
 // maxPrefilledPrefixes bounds the prompt prefixes that one takePrefilledPrefixes returns.
 const maxPrefilledPrefixes = 48
 
