control: count the gateways without keepers

Common limits (retry budget, rate limits) are divided by the number of gateways. Without a keeper's report eight were assumed, so that a large deployment could exceed the limits at its start, or for good without keepers. The planner's announcement now carries the number, and until one is known a hundred are assumed. TestPlannerAnnouncesObservation checks it.

--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -146,6 +146,8 @@
 	// the store last confirmed that this version is the current one.
 	ConfigVersion      uint64
 	ConfigConfirmedAge time.Duration
+	// Gateways is the number of gateways that report demand to the planner, with its own.
+	Gateways int
 	// Resigned is set when the gateway no longer is the planner.
 	Resigned bool
 	// YieldedToken is the fencing token of a lease that the gateway yielded while the store
--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -37,11 +37,20 @@
 func (p *planner) announce(v *watch.View, now time.Time) {
 	p.mu.Lock()
 	isPlanner := now.Before(p.leaseUntil)
+	gateways := 0
+	for _, h := range p.demands {
+		if now.Sub(h.receivedAt) <= demandTTL {
+			gateways++
+		}
+	}
+	if isPlanner {
+		p.gateways.Store(int64(gateways))
+	}
 	p.mu.Unlock()
 	if !isPlanner || !v.HasConfig || v.EndpointsUncertain {
 		return
 	}
-	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt)}, now)
+	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, Gateways: gateways, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt)}, now)
 }
 
 // broadcast sends a message to all gateways that reported demand within demandTTL.
@@ -81,6 +90,7 @@
 	}
 	if !m.Resigned {
 		p.announcedAt, p.holder = now, from
+		p.gateways.Store(int64(m.Gateways))
 		return
 	}
 	p.announcedAt, p.holder, p.yieldedToken = time.Time{}, "", m.YieldedToken
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -97,6 +97,9 @@
 			return false
 		}
 	})
+	if n := b.GatewayCount(); n != 2 {
+		t.Errorf("the second gateway counts %d gateways, want 2", n)
+	}
 	if got.StoreVersion != 40 || got.EndpointsDigest != 99 || got.ConfigVersion != 7 {
 		t.Errorf("got observation %+v", got)
 	}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -69,8 +69,10 @@
 	// ticksPerIdleSubscription is the number of ticks between subscriptions to the keeper of an
 	// engine that isn't in use; it is several times in a subscription's life.
 	ticksPerIdleSubscription = 3 * ticksPerSubscription
-	// defaultGatewayCount is assumed until a keeper has reported the number of gateways.
-	defaultGatewayCount = 8
+	// defaultGatewayCount is assumed until a keeper or the planner has reported the number of
+	// gateways. It is that of a large deployment, because the gateways' shares of common limits
+	// must not exceed them.
+	defaultGatewayCount = 100
 )
 
 // report is the newest report of one keeper.
@@ -584,12 +586,12 @@
 	return true
 }
 
-// GatewayCount returns the largest number of gateways that a keeper reports, or a default until
-// one has reported.
+// GatewayCount returns the largest number of gateways that a keeper or the planner reports, or a
+// default until one has reported.
 func (p *Plane) GatewayCount() int {
+	n := int(p.planner.gateways.Load())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
 	for _, r := range p.reports {
 		n = max(n, r.gateways)
 	}
--- a/internal/transport/control/planner.go
+++ b/internal/transport/control/planner.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -90,6 +91,9 @@
 	lease       Lease
 	table       store.TableService
 	incarnation int64
+	// gateways is the number of gateways that the planner last announced, or 0. It is read for
+	// each request, without waiting for a plan.
+	gateways atomic.Int64
 
 	mu           sync.Mutex
 	demands      map[string]gatewayDemand
