--- a/internal/state/replica/move.go
+++ b/internal/state/replica/move.go
@@ -105,6 +105,26 @@
 	// serving counts the replicas that are loaded.
 	serving    map[string]int
 	modelNames []string
+	// rooms holds what each endpoint, by its index, can make room for.
+	rooms []room
+}
+
+// room is the memory of an endpoint and what unloading its models costs. It is the same for
+// every model that may be loaded there, so it is computed once a decision.
+type room struct {
+	freeMB float64
+	// load is the offered load of all models on the endpoint.
+	load float64
+	// victims are the models that may be unloaded, the least costly first.
+	victims []victim
+}
+
+// victim is a model that may be unloaded.
+type victim struct {
+	model           string
+	weightsMB, loss float64
+	// load is the offered load of its replica.
+	load float64
 }
 
 func newPlacement(spec *fleet.EngineSpec, endpoints []Endpoint, demand map[string]Demand) *placement {
@@ -124,9 +144,54 @@
 		p.modelNames = append(p.modelNames, n)
 	}
 	slices.Sort(p.modelNames)
+	p.rooms = make([]room, len(endpoints))
+	for i, e := range endpoints {
+		if e.Usable && !e.Leaving {
+			p.rooms[i] = p.newRoom(e)
+		}
+	}
 	return p
 }
 
+// newRoom returns the room of an endpoint. The last replica of a model isn't a victim until
+// another one is loaded: a load from the weight store takes seconds, in which requests would
+// find none.
+func (p *placement) newRoom(e Endpoint) room {
+	r := room{freeMB: p.spec.WeightsMB - e.ReservedMB}
+	for _, m := range e.Models {
+		weights, load := p.spec.Models[m].WeightsMB, p.replicaLoad(m, 0)
+		r.freeMB -= weights
+		r.load += load
+		if p.replicas[m] >= 2 && p.serving[m] >= 2 {
+			r.victims = append(r.victims, victim{model: m, weightsMB: weights, loss: p.queueCost(m, -1) - p.queueCost(m, 0), load: load})
+		}
+	}
+	slices.SortStableFunc(r.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	return r
+}
+
+// fit returns the victims that make room for a model, and the loss of unloading them, or false
+// if there is not enough memory.
+func (r room) fit(weightsMB float64) ([]victim, float64, bool) {
+	free, loss := r.freeMB, 0.0
+	for i, v := range r.victims {
+		if free >= weightsMB {
+			return r.victims[:i], loss, true
+		}
+		free += v.weightsMB
+		loss += v.loss
+	}
+	return r.victims, loss, free >= weightsMB
+}
+
+func names(list []victim) []string {
+	var out []string
+	for _, v := range list {
+		out = append(out, v.model)
+	}
+	return out
+}
+
 // replicaLoad returns the offered load of each replica of a model if it had extra replicas more.
 func (p *placement) replicaLoad(model string, extra int) float64 {
 	n := p.replicas[model] + extra
@@ -136,14 +201,6 @@
 	return p.demand[model].OfferedLoad / float64(n)
 }
 
-func (p *placement) endpointLoad(e Endpoint) float64 {
-	sum := 0.0
-	for _, m := range e.Models {
-		sum += p.replicaLoad(m, 0)
-	}
-	return sum
-}
-
 // bestFirstReplica tries the models without a replica, that with the highest absence cost
 // first. It returns the first move whose gain, the absence cost, exceeds the loss caused by
 // its unloads, and the difference of the two. A replica of a busy model is not unloaded for
@@ -185,8 +242,8 @@
 		if gain < minLocalLoadGain || found && gain <= bestNet {
 			continue
 		}
-		for _, e := range p.endpoints {
-			m, net, ok := p.extraReplicaOn(n, e, gain, storeLoadAllowed)
+		for i := range p.endpoints {
+			m, net, ok := p.extraReplicaOn(n, i, gain, storeLoadAllowed)
 			if ok && (!found || net > bestNet) {
 				best, bestNet, found = m, net, true
 			}
@@ -195,9 +252,10 @@
 	return best, bestNet, found
 }
 
-// extraReplicaOn returns the move that loads one more replica of a model on an endpoint, and
-// its net gain beyond the threshold, or false if the threshold is not exceeded.
-func (p *placement) extraReplicaOn(model string, e Endpoint, gain float64, storeLoadAllowed bool) (Move, float64, bool) {
+// extraReplicaOn returns the move that loads one more replica of a model on the i-th endpoint,
+// and its net gain beyond the threshold, or false if the threshold is not exceeded.
+func (p *placement) extraReplicaOn(model string, i int, gain float64, storeLoadAllowed bool) (Move, float64, bool) {
+	e := &p.endpoints[i]
 	if !e.Usable || e.Leaving || slices.Contains(e.Models, model) {
 		return Move{}, 0, false
 	}
@@ -205,7 +263,7 @@
 	if !local && !storeLoadAllowed {
 		return Move{}, 0, false
 	}
-	unload, loss, ok := p.makeRoom(e, p.spec.Models[model])
+	unload, loss, ok := p.rooms[i].fit(p.spec.Models[model].WeightsMB)
 	if !ok {
 		return Move{}, 0, false
 	}
@@ -213,12 +271,15 @@
 	if !local {
 		minGain = minStoreLoadGain
 	}
-	otherLoad := p.endpointLoad(e)
-	for _, m := range unload {
-		otherLoad -= p.replicaLoad(m, 0)
+	otherLoad := p.rooms[i].load
+	for _, v := range unload {
+		otherLoad -= v.load
 	}
 	net := gain - loss - colocationWeight*otherLoad*p.replicaLoad(model, 1)
-	return Move{Endpoint: e.ID, Unload: unload, Load: model, FromStore: !local, Reason: "relieve"}, net - minGain, net > minGain
+	if net <= minGain {
+		return Move{}, 0, false
+	}
+	return Move{Endpoint: e.ID, Unload: names(unload), Load: model, FromStore: !local, Reason: "relieve"}, net - minGain, true
 }
 
 // queueCost returns the cost of a model's queues if it had extra replicas more.
@@ -231,7 +292,8 @@
 func (p *placement) placeFirstReplica(model string, storeLoadAllowed bool) (Move, float64, bool) {
 	var best Move
 	bestCost, bestLoss, found := 0.0, 0.0, false
-	for _, e := range p.endpoints {
+	for i := range p.endpoints {
+		e := &p.endpoints[i]
 		if !e.Usable || e.Leaving {
 			continue
 		}
@@ -239,45 +301,18 @@
 		if !local && !storeLoadAllowed {
 			continue
 		}
-		unload, loss, ok := p.makeRoom(e, p.spec.Models[model])
+		unload, loss, ok := p.rooms[i].fit(p.spec.Models[model].WeightsMB)
 		if !ok {
 			continue
 		}
-		cost := loss + colocationWeight*p.endpointLoad(e)
+		cost := loss + colocationWeight*p.rooms[i].load
 		if !local {
 			cost += minStoreLoadGain
 		}
 		if !found || cost < bestCost {
-			best = Move{Endpoint: e.ID, Unload: unload, Load: model, FromStore: !local, Reason: "reach"}
+			best = Move{Endpoint: e.ID, Unload: names(unload), Load: model, FromStore: !local, Reason: "reach"}
 			bestCost, bestLoss, found = cost, loss, true
 		}
 	}
 	return best, bestLoss, found
 }
-
-// makeRoom returns the models to unload on an endpoint, the least costly first, and the loss
-// of unloading them. The last replica of a model stays until another one is loaded: a load
-// from the weight store takes seconds, in which requests would find none.
-func (p *placement) makeRoom(e Endpoint, spec fleet.Model) ([]string, float64, bool) {
-	free := p.spec.WeightsMB - e.ReservedMB
-	for _, m := range e.Models {
-		free -= p.spec.Models[m].WeightsMB
-	}
-	if free >= spec.WeightsMB {
-		return nil, 0, true
-	}
-	victims := slices.DeleteFunc(slices.Clone(e.Models), func(v string) bool { return p.replicas[v] < 2 || p.serving[v] < 2 })
-	slices.SortStableFunc(victims, func(a, b string) int {
-		return cmp.Compare(p.queueCost(a, -1)-p.queueCost(a, 0), p.queueCost(b, -1)-p.queueCost(b, 0))
-	})
-	var unload []string
-	loss := 0.0
-	for _, v := range victims {
-		unload = append(unload, v)
-		loss += p.queueCost(v, -1) - p.queueCost(v, 0)
-		if free += p.spec.Models[v].WeightsMB; free >= spec.WeightsMB {
-			return unload, loss, true
-		}
-	}
-	return nil, 0, false
-}
