watch: fewer calls of a store that is down, and at a start beside a planner

While the store was down each gateway called it ten times a second, five for the configuration and five for the endpoints, five times as often as in health; calls are dear, refused ones too. A gateway that started beside a planner read the endpoints every 0.15 s for 2 s although the planner's observations confirmed them. Evidence: TestStoreDown and TestStartBesidePlanner failed before: 97 calls in 10 s against 21 in health, and 15 reads in 3 s. Change: the pause after a failed call doubles to 0.8 s, the read of the configuration waits for the endpoints' one to succeed, observations count from the first read on. The tests' store now gives each change a version of its own: a change within the same tenth of a second as a read was lost to that read, which TestObservedChange met once.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -95,7 +95,8 @@
 			}
 			now := time.Now()
 			reg.confirmedAt, newest, version = now, obs.StoreVersion, 0
-			if due = now.Add(time.Duration(observationWaitFactor * float64(pause))); due.After(limit) {
+			// The observing process may be older than this one, and read less often.
+			if due = now.Add(time.Duration(observationWaitFactor * float64(w.timing.EndpointPoll))); due.After(limit) {
 				due = limit
 			}
 			w.update(func(v *View) { v.EndpointsConfirmedAt, v.StoreVersion = now, obs.StoreVersion })
--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -24,6 +24,8 @@
 	endpoints []fleet.Endpoint
 	// changeVersion is the version of the last change of the endpoints.
 	changeVersion store.Version
+	// changes counts the changes, each of which has a version of its own.
+	changes store.Version
 	// gone lists the endpoints that the last change removed.
 	gone    []string
 	config  uint64
@@ -40,7 +42,7 @@
 }
 
 func (s *fakeStore) version() store.Version {
-	return 10 + store.Version(time.Since(s.began)/(100*time.Millisecond))
+	return 10 + 1000*store.Version(time.Since(s.began)/(100*time.Millisecond)) + s.changes
 }
 
 func (s *fakeStore) Config(ctx context.Context, after store.Version, wait time.Duration) (ConfigChange, error) {
@@ -88,6 +90,7 @@
 func (s *fakeStore) set(gone []string, list ...fleet.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changes++
 	s.endpoints, s.gone, s.changeVersion = list, gone, s.version()
 }
 
@@ -222,6 +225,87 @@
 	})
 }
 
+// failingStore is a store that answers no call while it is down.
+type failingStore struct {
+	*fakeStore
+	down  atomic.Bool
+	calls atomic.Int64
+}
+
+var errDown = errors.New("the store is down")
+
+func (s *failingStore) Config(ctx context.Context, after store.Version, wait time.Duration) (ConfigChange, error) {
+	if s.calls.Add(1); s.down.Load() {
+		return ConfigChange{}, errDown
+	}
+	return s.fakeStore.Config(ctx, after, wait)
+}
+
+func (s *failingStore) Endpoints(ctx context.Context, after store.Version) (EndpointChange, error) {
+	if s.calls.Add(1); s.down.Load() {
+		return EndpointChange{}, errDown
+	}
+	return s.fakeStore.Endpoints(ctx, after)
+}
+
+// TestStoreDown guards against calls that rise while the store is down, and against a late
+// notice that it is back.
+func TestStoreDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := &failingStore{fakeStore: newFakeStore()}
+		timing := Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, MaxRetryDelay: 800 * time.Millisecond}
+		w := New(s, timing, nil, logrus.NewEntry(log))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { w.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		before := s.calls.Load()
+		time.Sleep(10 * time.Second)
+		healthy := s.calls.Load() - before
+		s.down.Store(true)
+		before = s.calls.Load()
+		time.Sleep(10 * time.Second)
+		if n := s.calls.Load() - before; n > 2*healthy {
+			t.Errorf("%d calls in 10 s while the store is down, %d while it answers", n, healthy)
+		}
+		s.down.Store(false)
+		s.locked(func() { s.config, s.configPending = 2, true })
+		time.Sleep(time.Second)
+		if v := w.View(); v.Config.Version != 2 || time.Since(v.EndpointsConfirmedAt) > time.Second {
+			t.Errorf("1 s after the store's return: configuration %d, endpoints confirmed %v ago", v.Config.Version, time.Since(v.EndpointsConfirmedAt))
+		}
+		cancel()
+		wg.Wait()
+	})
+}
+
+// TestStartBesidePlanner guards against reads at the startup's pace although the planner's
+// observations confirm what was read.
+func TestStartBesidePlanner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPair(t, newFakeStore())
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := newFakeStore()
+		w := New(s, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, OwnReadInterval: 5 * time.Second}, nil, logrus.NewEntry(log))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { w.Run(ctx) })
+		for range 6 {
+			time.Sleep(500 * time.Millisecond)
+			v := p.reader.View()
+			w.ApplyObservation(Observation{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ConfigVersion: v.Config.Version, ConfigConfirmedAt: v.ConfigConfirmedAt})
+		}
+		cancel()
+		wg.Wait()
+		if n, _ := s.readCounts(); n > 6 {
+			t.Errorf("%d reads of the endpoints in the first 3 s, want one every 0.15 s until the first observation", n)
+		}
+	})
+}
+
 // TestModelsInObservations guards against reads of the store that rise while keepers are
 // silent, and against models that a gateway without keepers doesn't learn of.
 func TestModelsInObservations(t *testing.T) {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -58,8 +58,9 @@
 	ConfigWait time.Duration
 	// EndpointPoll is the pause between reads of the endpoints.
 	EndpointPoll time.Duration
-	// RetryDelay is the pause after a failed call.
-	RetryDelay time.Duration
+	// RetryDelay is the pause after a failed call. It doubles with each further one, up to
+	// MaxRetryDelay.
+	RetryDelay, MaxRetryDelay time.Duration
 	// OwnReadInterval is the longest time between own reads of one kind while other processes'
 	// observations replace them; 0 means that observations never replace reads.
 	OwnReadInterval time.Duration
@@ -98,6 +99,8 @@
 	restartConfigRead func()
 	// restartedFor is the newest observed version that restarted the configuration read.
 	restartedFor uint64
+	// answered is closed, and replaced, each time the store answers a read of the endpoints.
+	answered chan struct{}
 	// observedConfigAt is when the last observation with the current configuration version arrived.
 	observedConfigAt time.Time
 }
@@ -105,7 +108,7 @@
 // New returns a watcher with an empty view; onChange, which may be nil, is called after each
 // successful read of the endpoints.
 func New(src Source, timing Timing, onChange func(*View), log *logrus.Entry) *Watcher {
-	w := &Watcher{src: src, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1)}
+	w := &Watcher{src: src, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{})}
 	w.view.Store(&View{})
 	return w
 }
@@ -134,8 +137,10 @@
 	var version store.Version
 	outage := outageLog{name: "configuration", log: w.log}
 	restores := restoreLog{name: "configuration", log: w.log}
+	failures := 0
 	for ctx.Err() == nil {
 		asked := time.Now()
+		answered := w.answeredChan()
 		ch, err := w.readConfig(ctx, version)
 		if errors.Is(err, errReadRestarted) {
 			w.logRestart(time.Since(asked))
@@ -145,9 +150,12 @@
 		}
 		outage.record(ctx, err)
 		if err != nil {
-			sleep(ctx, w.timing.RetryDelay)
+			// The reads of the endpoints find out that the store answers again.
+			failures++
+			sleepUntil(ctx, w.timing.retryDelay(failures+1), answered)
 			continue
 		}
+		failures = 0
 		restores.record(version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, err := range ch.DecodeErrors {
@@ -186,13 +194,17 @@
 	loggedRows := map[string]bool{}
 	outage := outageLog{name: "endpoints", log: w.log}
 	restores := restoreLog{name: "endpoints", log: w.log}
+	failures := 0
 	for ctx.Err() == nil {
 		ch, err := w.src.Endpoints(ctx, version)
 		outage.record(ctx, err)
 		if err != nil {
-			sleep(ctx, w.timing.RetryDelay)
+			failures++
+			sleep(ctx, w.timing.retryDelay(failures))
 			continue
 		}
+		failures = 0
+		w.announceAnswer()
 		restores.record(version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, r := range ch.InvalidRows {
@@ -217,7 +229,7 @@
 		if time.Since(began) < startupPeriod {
 			pause = min(pause, startupPoll)
 		}
-		if w.timing.OwnReadInterval <= 0 || time.Since(began) < startupPeriod {
+		if w.timing.OwnReadInterval <= 0 {
 			sleep(ctx, pause)
 			continue
 		}
@@ -284,6 +296,41 @@
 	}
 }
 
+// retryDelay returns the pause after a number of failed calls in a row.
+func (t Timing) retryDelay(failures int) time.Duration {
+	const maxDoublings = 8
+	return min(max(t.RetryDelay, t.MaxRetryDelay), t.RetryDelay<<min(failures-1, maxDoublings))
+}
+
+// answeredChan returns a channel that is closed when the store next answers a read of the
+// endpoints.
+func (w *Watcher) answeredChan() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered
+}
+
+func (w *Watcher) announceAnswer() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.answered)
+	w.answered = make(chan struct{})
+}
+
+// sleepUntil sleeps for a time, or until a channel is closed.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-wake:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	sleep(ctx, d)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -51,8 +51,11 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is twice what the operators' limits allow a client.
 	maxHeaderBytes = 32 << 10
-	// storeRetryDelay is the pause after a failed call of the store.
-	storeRetryDelay = 200 * time.Millisecond
+	// storeRetryDelay is the pause after a failed call of the store; it doubles up to
+	// maxStoreRetryDelay, which is within the time that the platform gives to notice that its
+	// store is back.
+	storeRetryDelay    = 200 * time.Millisecond
+	maxStoreRetryDelay = 800 * time.Millisecond
 	// ownReadInterval is the longest time that a gateway relies on the planner's observations
 	// before it reads the store itself; the store keeps its history for 20 s.
 	ownReadInterval = 8 * time.Second
@@ -90,7 +93,7 @@
 		return nil, err
 	}
 	var plane *control.Plane
-	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, OwnReadInterval: ownReadInterval},
+	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, MaxRetryDelay: maxStoreRetryDelay, OwnReadInterval: ownReadInterval},
 		func(v *watch.View) { plane.UpdateView(v) }, log)
 	plane, err := control.New(control.Settings{
 		GatewayID: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, ModelLoadWindow: cfg.ModelLoadLimit.Window, SubscribeInterval: subscribeInterval, DemandInterval: demandInterval,
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -55,12 +55,12 @@
 
 func (r headLimitReader) Read(p []byte) (int, error) {
 	if r.c.headBytesLeft == unlimited {
-		return r.c.Conn.Read(p)
+		return r.c.Read(p)
 	}
 	if r.c.headBytesLeft == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := r.c.Conn.Read(p[:min(len(p), r.c.headBytesLeft)])
+	n, err := r.c.Read(p[:min(len(p), r.c.headBytesLeft)])
 	r.c.headBytesLeft -= n
 	return n, err
 }
