lease, control: a lease that ends while the machine is suspended

Hazard: a process that was paused acts on a permission that has run out. Leases are measured by the monotonic clock, which stands still while a machine is suspended. A planner woke up with its lease seemingly in force, ignored the gateway that had taken over and went on planning. Evidence: TestSuspendedHolder and TestSuspendedPlanner (new functions; the old code has no way to see a suspension). Change: a lease ends earlier by the time for which the machine was suspended since the grant, the difference of the boot-time and the monotonic clock.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -38,8 +38,12 @@
 
 	held  bool
 	token uint64
-	// until is when the lease ends for this holder.
+	// until is when the lease ends for this holder, if the machine isn't suspended meanwhile.
 	until time.Time
+	// suspended returns the time for which the machine has been suspended; suspendedAtGrant is
+	// what it returned before the lease was last granted.
+	suspended        func() time.Duration
+	suspendedAtGrant time.Duration
 	// version is the row's version after this holder's last write.
 	version uint64
 	// observedVersion is the version at which another holder's row was last seen, and
@@ -70,25 +74,34 @@
 	// ImmediateTakeover lets a new holder take the lease without waiting for the term. Whatever
 	// the lease guards must then reject old fencing tokens.
 	ImmediateTakeover bool
+	// Suspended returns the time for which the machine has been suspended, by which the lease
+	// ends earlier; nil stands for SuspendedTime.
+	Suspended func() time.Duration
 }
 
 // New returns a manager that does not hold the lease yet.
 func New(table store.TableService, cfg Settings) *Manager {
-	return &Manager{
+	m := &Manager{
 		table: table, key: cfg.Key, infoKey: cfg.InfoKey, holder: cfg.Holder, term: cfg.Term, margin: cfg.Margin, immediateTakeover: cfg.ImmediateTakeover,
+		suspended: cfg.Suspended,
 	}
+	if m.suspended == nil {
+		m.suspended = SuspendedTime
+	}
+	return m
 }
 
 // Valid returns the fencing token of the lease and reports whether the lease is in force at a time.
 func (m *Manager) Valid(now time.Time) (uint64, bool) {
-	return m.token, m.held && now.Before(m.until)
+	return m.token, m.held && now.Before(m.Until())
 }
 
 // Holder returns the holder that the row named at the last Refresh.
 func (m *Manager) Holder() string { return m.rowHolder }
 
-// Until returns the time up to which the lease is in force for its holder.
-func (m *Manager) Until() time.Time { return m.until }
+// Until returns the time up to which the lease is in force for its holder. It moves back when
+// the machine has been suspended.
+func (m *Manager) Until() time.Time { return m.until.Add(m.suspendedAtGrant - m.suspended()) }
 
 // Cond returns the condition that the lease row is still as this holder last wrote it.
 func (m *Manager) Cond() store.Cond { return store.Cond{Key: m.key, Version: m.version} }
@@ -97,11 +110,11 @@
 // returns ErrHeld while another holder's lease may be in force. After any other error a lease
 // that is held stays in force until its term ends.
 func (m *Manager) Refresh(ctx context.Context, info json.RawMessage) error {
-	requestedAt := time.Now()
-	if m.held && requestedAt.Before(m.until) && m.infoKey == "" {
+	requestedAt, suspended := time.Now(), m.suspended()
+	if m.held && requestedAt.Before(m.Until()) && m.infoKey == "" {
 		// No other process writes the row before the term ends. If one did, or if the reply to
 		// the last write was lost, the condition fails and the row is read below.
-		err := m.renew(ctx, requestedAt)
+		err := m.renew(ctx, requestedAt, suspended)
 		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
@@ -147,12 +160,12 @@
 	m.rowHolder = m.holder
 	m.held, m.token, m.version, m.storedInfo = true, next.FencingToken, version, bytes.Clone(info)
 	// The term counts from before the read: no other process can have seen the row as written here earlier.
-	m.until = requestedAt.Add(m.term - m.margin)
+	m.until, m.suspendedAtGrant = requestedAt.Add(m.term-m.margin), suspended
 	return nil
 }
 
 // renew extends the lease without reading its row first.
-func (m *Manager) renew(ctx context.Context, requestedAt time.Time) error {
+func (m *Manager) renew(ctx context.Context, requestedAt time.Time, suspended time.Duration) error {
 	value, err := json.Marshal(Row{Holder: m.holder, FencingToken: m.token, TermMillis: m.term.Milliseconds(), MarginMillis: m.margin.Milliseconds()})
 	if err != nil {
 		return fmt.Errorf("encode lease: %w", err)
@@ -164,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	m.version, m.until = version, requestedAt.Add(m.term-m.margin)
+	m.version, m.until, m.suspendedAtGrant = version, requestedAt.Add(m.term-m.margin), suspended
 	return nil
 }
 
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -239,3 +239,33 @@
 		})
 	}
 }
+
+// TestSuspendedHolder guards against a holder that still counts on its lease after its machine
+// was suspended: the monotonic clock stood still while the lease ran out.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		m := New(&table{}, Settings{Key: "l", Holder: "a", Term: term, Margin: margin, Suspended: func() time.Duration { return suspended }})
+		if err := m.Refresh(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		for _, tc := range []struct {
+			suspended time.Duration
+			valid     bool
+		}{{0, true}, {time.Second, true}, {term, false}} {
+			suspended = tc.suspended
+			if _, ok := m.Valid(time.Now()); ok != tc.valid {
+				t.Errorf("after a suspension of %v: in force %v", tc.suspended, ok)
+			}
+			if in := m.Until().After(time.Now()); in != tc.valid {
+				t.Errorf("after a suspension of %v: until %v", tc.suspended, m.Until())
+			}
+		}
+		if err := m.Refresh(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := m.Valid(time.Now()); !ok {
+			t.Error("the lease that was refreshed after the suspension is not in force")
+		}
+	})
+}
--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -15,9 +15,9 @@
 	defer p.mu.Unlock()
 	silent := p.announcedAt.Add(plannerSilentAfter)
 	switch {
-	case now.Before(p.leaseUntil) && p.refreshFailures > 0:
+	case p.holdsLease(now) && p.refreshFailures > 0:
 		return now.Sub(lastRefresh) >= leaseRetryInterval
-	case now.Before(p.leaseUntil):
+	case p.holdsLease(now):
 		return now.Sub(lastRefresh) >= leaseRefreshInterval
 	case now.Before(silent):
 		return false
@@ -36,7 +36,7 @@
 // others must not rely on them.
 func (p *planner) announce(v *watch.View, now time.Time) {
 	p.mu.Lock()
-	isPlanner := now.Before(p.leaseUntil)
+	isPlanner := p.holdsLease(now)
 	gateways := 0
 	for _, h := range p.demands {
 		if now.Sub(h.receivedAt) <= demandTTL {
@@ -83,7 +83,7 @@
 func (p *planner) handleAnnouncement(m *dgram.PlannerStatus, from string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Before(p.leaseUntil) {
+	if p.holdsLease(now) {
 		// This gateway holds the lease: the sender was frozen and doesn't know yet that its
 		// own has expired.
 		return
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -15,6 +15,7 @@
 	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/dgram"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -180,10 +181,10 @@
 		{"not before the refresh interval while it stays silent", &planner{announcedAt: ago(2 * time.Second), holder: "h"}, ago(time.Second), false},
 		{"after the refresh interval while it stays silent", &planner{announcedAt: ago(4 * time.Second), holder: "h"}, ago(leaseRefreshInterval), true},
 		{"sooner while nobody holds the lease", &planner{}, ago(freeLeaseInterval), true},
-		{"the holder renews", &planner{leaseUntil: now.Add(time.Second), holder: "self"}, ago(leaseRefreshInterval), true},
-		{"the holder renews although a frozen gateway announced itself", &planner{leaseUntil: now.Add(time.Second), announcedAt: ago(0), holder: "h"}, ago(leaseRefreshInterval), true},
-		{"the holder retries sooner after a failed refresh", &planner{leaseUntil: now.Add(time.Second), holder: "self", refreshFailures: 1}, ago(leaseRetryInterval), true},
-		{"the holder does not renew before the refresh interval", &planner{leaseUntil: now.Add(time.Second), holder: "self"}, ago(time.Second), false},
+		{"the holder renews", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self"}, ago(leaseRefreshInterval), true},
+		{"the holder renews although a frozen gateway announced itself", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), announcedAt: ago(0), holder: "h"}, ago(leaseRefreshInterval), true},
+		{"the holder retries sooner after a failed refresh", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self", refreshFailures: 1}, ago(leaseRetryInterval), true},
+		{"the holder does not renew before the refresh interval", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self"}, ago(time.Second), false},
 	} {
 		if got := tc.p.refreshDue(tc.lastRefresh, now); got != tc.want {
 			t.Errorf("%s: due %v", tc.name, got)
@@ -210,3 +211,25 @@
 		}
 	}
 }
+
+func notSuspended() time.Duration { return 0 }
+
+// TestSuspendedPlanner guards against orders of a planner whose machine was suspended until
+// another gateway could take its lease.
+func TestSuspendedPlanner(t *testing.T) {
+	var suspended time.Duration
+	now := time.Now()
+	p := &planner{suspended: func() time.Duration { return suspended }, leaseUntil: now.Add(3 * time.Second)}
+	if !p.holdsLease(now) {
+		t.Error("the planner does not hold its lease before the suspension")
+	}
+	suspended = 4 * time.Second
+	if p.holdsLease(now) {
+		t.Error("the planner still counts on its lease after a suspension of 4s")
+	}
+	p.wake = make(chan struct{}, 1)
+	p.handleAnnouncement(&dgram.PlannerStatus{Gateways: 3}, "other", now)
+	if p.holder != "other" {
+		t.Error("the planner ignores the announcement of the gateway that took over")
+	}
+}
--- a/internal/transport/control/planner.go
+++ b/internal/transport/control/planner.go
@@ -101,8 +101,12 @@
 	heldSince    time.Time
 	fencingToken uint64
 	leaseUntil   time.Time
-	holder       string
-	lastMoveID   uint64
+	// suspended returns the time for which the machine has been suspended; suspendedAtRefresh is
+	// what it returned when leaseUntil was set.
+	suspended          func() time.Duration
+	suspendedAtRefresh time.Duration
+	holder             string
+	lastMoveID         uint64
 	// loadBuckets limit the loads from the weight store, by service.
 	loadBuckets map[string]bucket.Bucket
 	sequence    uint64
@@ -125,7 +129,16 @@
 }
 
 func newPlanner(plane *Plane, l Lease, table store.TableService) *planner {
-	return &planner{plane: plane, lease: l, table: table, incarnation: time.Now().UnixNano(), demands: map[string]gatewayDemand{}, pending: map[string]*pendingMove{}, wake: make(chan struct{}, 1), resigned: make(chan struct{})}
+	return &planner{plane: plane, lease: l, table: table, incarnation: time.Now().UnixNano(), demands: map[string]gatewayDemand{}, pending: map[string]*pendingMove{}, wake: make(chan struct{}, 1), resigned: make(chan struct{}), suspended: lease.SuspendedTime}
+}
+
+// holdsLease reports whether this gateway is the planner at a time. The lease ends earlier by
+// the time for which the machine was suspended, in which the monotonic clock stands still.
+func (p *planner) holdsLease(now time.Time) bool {
+	if p.leaseUntil.IsZero() {
+		return false
+	}
+	return now.Add(p.suspended() - p.suspendedAtRefresh).Before(p.leaseUntil)
 }
 
 func (p *planner) run(ctx context.Context) {
@@ -191,7 +204,7 @@
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
 	p.mu.Lock()
-	held := time.Now().Before(p.leaseUntil)
+	held := p.holdsLease(time.Now())
 	p.leaseUntil = time.Time{}
 	p.mu.Unlock()
 	if err := p.lease.Release(releaseCtx); err != nil {
@@ -245,7 +258,7 @@
 	defer p.mu.Unlock()
 	p.holder, p.leaseUntil = p.lease.Holder(), time.Time{}
 	if held {
-		p.leaseUntil = p.lease.Until()
+		p.leaseUntil, p.suspendedAtRefresh = p.lease.Until(), p.suspended()
 	}
 	if held && token != p.fencingToken {
 		p.plane.log.WithField("term", token).Info("this gateway is the planner")
@@ -296,7 +309,7 @@
 func (p *planner) plan(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !now.Before(p.leaseUntil) {
+	if !p.holdsLease(now) {
 		return
 	}
 	v := p.plane.view()
--- a/internal/transport/control/saveddemand.go
+++ b/internal/transport/control/saveddemand.go
@@ -33,7 +33,7 @@
 // saveDemand writes the demand to the store for the next planner.
 func (p *planner) saveDemand(ctx context.Context, now time.Time) {
 	p.mu.Lock()
-	if now.Sub(p.savedAt) < saveInterval || !now.Before(p.leaseUntil) {
+	if now.Sub(p.savedAt) < saveInterval || !p.holdsLease(now) {
 		p.mu.Unlock()
 		return
 	}
