pick: a gateway's own engines are mostly in its failure domain

The preference for engines of its own outweighed the cost of another failure domain, so that more bytes would cross domains. Engines in other domains are now less preferred by a quarter of the range.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -287,7 +287,7 @@
 	if c.State.KeeperSilent {
 		cost += silentKeeperCost
 	}
-	cost += extraCost(req, c, now) + affinityCost(req.Gateway, c.State.ID, req.Gateways)
+	cost += extraCost(req, c, now) + affinityCost(req, c.State.Endpoint)
 	return Choice{ID: c.State.ID, Estimate: est, LoadAdapter: !resident, PrefillTokens: prefill, BacklogTokens: backlog, BacklogTime: time.Duration(backlog) * m.PrefillPerToken}, cost
 }
 
--- a/internal/state/pick/stall.go
+++ b/internal/state/pick/stall.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/poison"
 )
 
@@ -27,16 +28,22 @@
 	affinityPerGateway = 2500 * time.Microsecond
 	// maxAffinity bounds that cost, so that a queue outweighs it.
 	maxAffinity = 80 * time.Millisecond
+	// domainAffinity is the part of the cost by which endpoints in other failure domains are less
+	// preferred, so that a gateway's own endpoints are mostly near.
+	domainAffinity = 0.25
 )
 
 // affinityCost returns a cost between 0 and a maximum that differs by gateway and endpoint. It
 // gives each gateway endpoints of its own to prefer. Gateways don't see each other's requests,
 // and a report is older than a prompt takes to prefill: the more gateways send to one
 // endpoint, the less each knows of what it has to prefill now.
-func affinityCost(gateway, endpoint string, gateways int) time.Duration {
-	if gateway == "" {
+func affinityCost(req Request, e fleet.Endpoint) time.Duration {
+	if req.Gateway == "" {
 		return 0
 	}
-	spread := min(maxAffinity, time.Duration(gateways)*affinityPerGateway)
-	return time.Duration(float64(poison.RendezvousWeight(gateway, endpoint)) / math.MaxUint64 * float64(spread))
+	part := float64(poison.RendezvousWeight(req.Gateway, e.ID)) / math.MaxUint64
+	if e.FailureDomain != req.FailureDomain {
+		part += domainAffinity
+	}
+	return time.Duration(part * float64(min(maxAffinity, time.Duration(req.Gateways)*affinityPerGateway)))
 }
--- a/internal/state/pick/stall_test.go
+++ b/internal/state/pick/stall_test.go
@@ -94,6 +94,9 @@
 	e.running = running
 }
 
+// domain returns the failure domain of the i-th gateway or engine.
+func domain(i int) string { return string(rune('a' + i%3)) }
+
 // fleetSize is the size of a played deployment.
 type fleetSize struct{ gateways, engines int }
 
@@ -152,7 +155,7 @@
 			n := min(rnd.IntN(size.gateways), rnd.IntN(size.gateways))
 			g := gateways[n]
 			prompt := 100 + int(rnd.ExpFloat64()*440)
-			req := Request{Service: "s", ModelName: fleet.ModelName{Model: "m"}, Parts: []PromptPart{{Tokens: prompt}}, FailureDomain: "z"}
+			req := Request{Service: "s", ModelName: fleet.ModelName{Model: "m"}, Parts: []PromptPart{{Tokens: prompt}}, FailureDomain: domain(n)}
 			if pol.stalls {
 				req.GapObjective = simGapObjective
 			}
@@ -162,7 +165,7 @@
 			var list []Candidate
 			for i, e := range engines {
 				c := Candidate{Slots: 64, IdleConnection: true, State: fleet.State{
-					Endpoint:         fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", FailureDomain: "z"},
+					Endpoint:         fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", FailureDomain: domain(i)},
 					StatusSupersedes: true,
 					Status: fleet.Status{
 						ReceivedAt: testTime.Add(e.report.at), Alive: true, Running: e.report.running, Prefilling: e.report.prefilling,
