--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -192,3 +192,32 @@
 		t.Fatalf("error %v, want stage Unsent", err)
 	}
 }
+
+// FuzzResponse guards against bytes of an endpoint that crash the gateway or that pass for the
+// response to another request.
+func FuzzResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTest-Request: 1\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTest-Request: 2\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nTest-Request: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\nTest-Request: 1\r\nKeep-Alive: timeout=-1, x\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		c := newConn(near)
+		defer c.abort()
+		resp, err := readResponse(c, request("1", ""))
+		if err != nil {
+			return
+		}
+		if got := resp.Header.Get("Test-Request"); got != "1" {
+			t.Errorf("took a response to request %q", got)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		c.applyKeepAlive(resp.Header)
+		if c.idleTimeout < 0 {
+			t.Errorf("idle timeout %v", c.idleTimeout)
+		}
+	})
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -412,24 +412,29 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		m, err := dgram.Decode(buf[:n])
-		if err != nil {
-			p.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
-			continue
-		}
-		switch m := m.(type) {
-		case *dgram.EndpointState:
-			p.handleEndpointState(m)
-		case *dgram.Demand:
-			p.planner.handleDemand(m, from.String())
-		case *dgram.PlannerStatus:
-			p.planner.handleAnnouncement(m, from.String(), time.Now())
-			if !m.Resigned {
-				p.observe(watch.Observation{
-					StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
-					ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
-				})
-			}
+		p.handleDatagram(buf[:n], from.String())
+	}
+}
+
+// handleDatagram applies a datagram, or drops it if it is no message.
+func (p *Plane) handleDatagram(data []byte, from string) {
+	m, err := dgram.Decode(data)
+	if err != nil {
+		p.log.WithError(err).WithField("from", from).Debug("a datagram was dropped")
+		return
+	}
+	switch m := m.(type) {
+	case *dgram.EndpointState:
+		p.handleEndpointState(m)
+	case *dgram.Demand:
+		p.planner.handleDemand(m, from)
+	case *dgram.PlannerStatus:
+		p.planner.handleAnnouncement(m, from, time.Now())
+		if !m.Resigned {
+			p.observe(watch.Observation{
+				StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
+				ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
+			})
 		}
 	}
 }
@@ -595,7 +600,7 @@
 	for _, r := range p.reports {
 		n = max(n, r.gateways)
 	}
-	if n == 0 {
+	if n <= 0 {
 		return defaultGatewayCount
 	}
 	return n
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -28,24 +28,29 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		msg, err := dgram.Decode(buf[:n])
-		if err != nil {
-			k.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
-			continue
-		}
-		req, ok := msg.(*dgram.KeeperRequest)
-		if !ok {
-			continue
-		}
-		k.mu.Lock()
-		urgent := k.applyRequest(req, from.String(), time.Now())
-		k.subscribe(req, from, time.Now())
-		k.mu.Unlock()
-		if urgent {
-			select {
-			case k.wake <- struct{}{}:
-			default:
-			}
+		k.handleDatagram(buf[:n], from)
+	}
+}
+
+// handleDatagram applies a gateway's request, or drops a datagram that is none.
+func (k *Keeper) handleDatagram(data []byte, from net.Addr) {
+	msg, err := dgram.Decode(data)
+	if err != nil {
+		k.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
+		return
+	}
+	req, ok := msg.(*dgram.KeeperRequest)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	urgent := k.applyRequest(req, from.String(), time.Now())
+	k.subscribe(req, from, time.Now())
+	k.mu.Unlock()
+	if urgent {
+		select {
+		case k.wake <- struct{}{}:
+		default:
 		}
 	}
 }
