dgram: check declared lengths before a datagram is decoded

Hazard met: a datagram of 13 bytes took a gateway or keeper down. Cause: the decoder allocates an array as long as its header declares before it reads the elements; the library's limit isn't in force for slices. TestDeclaredLengths failed before. Change: a datagram whose declared lengths don't fit its bytes is dropped.

--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -180,7 +180,7 @@
 
 // Decode returns the message of a datagram, or an error if the datagram is invalid.
 func Decode(data []byte) (Message, error) {
-	if len(data) == 0 {
+	if len(data) == 0 || !validLengths(data[1:]) {
 		return nil, errInvalidMessage
 	}
 	var m Message
--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -41,3 +41,19 @@
 		}
 	})
 }
+
+// TestDeclaredLengths guards against a datagram of a few bytes that declares a long array: the
+// decoder would allocate all of it, which takes the process down.
+func TestDeclaredLengths(t *testing.T) {
+	for _, data := range [][]byte{
+		{3, 0x94, 0xa1, 0xe5, '&', '1', 0xdd, 0xe5, 0xee, 'r', '0', 0xcc, '0'},
+		{1, 0xdd, 0xff, 0xff, 0xff, 0xff},
+		{2, 0x91, 0xdf, 0x00, 0x10, 0x00, 0x00},
+		{2, 0x91, 0xdb, 0x7f, 0xff, 0xff, 0xff},
+		{2, 0x91, 0xdc},
+	} {
+		if m, err := Decode(data); err == nil {
+			t.Errorf("%x decoded to %+v", data, m)
+		}
+	}
+}
