pick: adapters and mostly shared prompts keep one home for all gateways

With 30 gateways the preference for engines of their own, up to 80 ms, would outweigh an order for a further copy of an adapter (60 ms), and most of what a cached shared prompt saves. Both now keep their one home.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -47,6 +47,15 @@
 	return n
 }
 
+// SharedTokens returns the number of tokens of the parts that other requests share.
+func (r Request) SharedTokens() int {
+	n := 0
+	for _, p := range r.Parts[:min(r.SharedParts, len(r.Parts))] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // Candidate is an endpoint with the gateway's view of it.
 type Candidate struct {
 	State fleet.State
@@ -238,11 +247,7 @@
 	cached := min(c.CachedTokens, total)
 	_, resident := fleet.Holds(c.State.Residents(), req.ModelName)
 	if c.State.ID == home && resident {
-		shared := 0
-		for _, p := range req.Parts[:req.SharedParts] {
-			shared += p.Tokens
-		}
-		cached = max(cached, int(homeCachedShare*float64(shared)))
+		cached = max(cached, int(homeCachedShare*float64(req.SharedTokens())))
 	}
 	prefill := total - cached
 	backlog := c.PrefillTokens
--- a/internal/state/pick/stall.go
+++ b/internal/state/pick/stall.go
@@ -37,8 +37,11 @@
 // gives each gateway endpoints of its own to prefer. Gateways don't see each other's requests,
 // and a report is older than a prompt takes to prefill: the more gateways send to one
 // endpoint, the less each knows of what it has to prefill now.
+//
+// An adapter and a prompt that is mostly shared have one home for all gateways instead: a
+// second copy costs an order, or the prefill of the shared part.
 func affinityCost(req Request, e fleet.Endpoint) time.Duration {
-	if req.Gateway == "" {
+	if req.Gateway == "" || req.ModelName.Adapter != "" || 2*req.SharedTokens() > req.PromptTokens() {
 		return 0
 	}
 	part := float64(poison.RendezvousWeight(req.Gateway, e.ID)) / math.MaxUint64
--- a/internal/state/pick/stall_test.go
+++ b/internal/state/pick/stall_test.go
@@ -242,3 +242,44 @@
 		})
 	}
 }
+
+// TestAffinity checks which requests go to engines that the gateway prefers, and that a queue
+// outweighs the preference.
+func TestAffinity(t *testing.T) {
+	n := fleet.ParseModelName("m")
+	alone := Request{Service: "s", ModelName: n, Parts: ParsePromptParts(n, "aa:200,bb:600"), SharedParts: 1, FailureDomain: "z", Gateways: 30}
+	list := func() []Candidate { return []Candidate{candidate("a", nil), candidate("b", nil), candidate("c", nil)} }
+	chosen := func(req Request, list []Candidate) map[string]int {
+		out := map[string]int{}
+		for i := range 60 {
+			req.Gateway = fmt.Sprint("g", i)
+			ch, ok := Best(req, list, latencyModel, testTime, 8, zeroDraw)
+			if !ok {
+				t.Fatal("no endpoint was chosen")
+			}
+			out[ch.ID]++
+		}
+		return out
+	}
+	for id, n := range chosen(alone, list()) {
+		if n < 10 || n > 30 {
+			t.Errorf("%d of 60 gateways prefer %s, want about 20", n, id)
+		}
+	}
+	shared := alone
+	shared.Parts = ParsePromptParts(n, "aa:6300,bb:2890")
+	adapter := alone
+	adapter.ModelName = fleet.ParseModelName("m/x")
+	for name, req := range map[string]Request{"a prompt that is mostly shared": shared, "an adapter": adapter} {
+		if got := chosen(req, list()); len(got) != 1 {
+			t.Errorf("%s goes to %v, want one home", name, got)
+		}
+	}
+	busy := list()
+	for i := range busy[1:] {
+		busy[i+1].PrefillTokens = 8000
+	}
+	if got := chosen(alone, busy); got["a"] != 60 {
+		t.Errorf("%v chose the endpoints, two of which have a long queue", got)
+	}
+}
