pick: count the requests sent to an engine since its keeper's report

Callers saw requests queue at engines whose batch had filled since the last report, while others had slots: with 24 slots and bursts a report of 0.2 s, or of a second from an engine that was not in use, misses much of a batch. Change: this gateway's own requests since the report count as running, and those beyond the slots as waiting. A case of TestBest.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -71,7 +71,9 @@
 	// SentTokens is the number of prompt tokens that this gateway sent to the endpoint for
 	// prefill within the request's gap objective.
 	SentTokens int
-	Health     health.Record
+	// SentSinceReport counts this gateway's requests that the keeper's report doesn't show yet.
+	SentSinceReport int
+	Health          health.Record
 	// RateWait is the time until this gateway's share of the endpoint's rate limit allows
 	// another request, 0 if it does now or there is no limit.
 	RateWait time.Duration
@@ -258,10 +260,10 @@
 		backlog += int(weight * float64(others*m.MeanPrefillTokens))
 	}
 	est := time.Duration(backlog+prefill) * m.PrefillPerToken
-	running := max(c.InFlight, c.State.Status.Running)
+	running := max(c.InFlight, c.State.Status.Running+c.SentSinceReport)
 	est += time.Duration(running) * stepPerRunning
 	if running >= c.Slots && c.Slots > 0 {
-		est += m.slotWait(c.Slots, c.State.Status.Waiting)
+		est += m.slotWait(c.Slots, max(c.State.Status.Waiting, running-c.Slots))
 	}
 	if s := c.State.Status; c.State.StatusSupersedes && s.KVTotalTokens > 0 {
 		kvShare := float64(s.KVUsedTokens+prefill+req.OutputTokens) / float64(s.KVTotalTokens)
--- a/internal/state/pick/pick_test.go
+++ b/internal/state/pick/pick_test.go
@@ -67,6 +67,10 @@
 			}
 		}, nil, "m", other},
 		{"a host that may be frozen is avoided", func(c *Candidate) { c.State.KeeperSilent = true }, nil, "m", other},
+		{"a batch that this gateway has filled since the report is avoided", func(c *Candidate) {
+			setReport(c, fleet.Status{Running: 60})
+			c.SentSinceReport = 20
+		}, func(c *Candidate) { setReport(c, fleet.Status{Running: 62}) }, "m", other},
 		{"a full KV cache is avoided", func(c *Candidate) { setReport(c, fleet.Status{KVUsedTokens: 1000, KVTotalTokens: 1000}) }, nil, "m", other},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -63,16 +63,16 @@
 // maxSends bounds the requests that are kept to tell what an endpoint was sent lately.
 const maxSends = 64
 
-// sentSince returns the prompt tokens sent for prefill since a time.
-func (r *endpointRecord) sentSince(since time.Time) int {
-	n := 0
+// sentSince returns the number of requests, and their prompt tokens to prefill, since a time.
+func (r *endpointRecord) sentSince(since time.Time) (requests, tokens int) {
 	for _, s := range slices.Backward(r.sends) {
 		if s.at.Before(since) {
 			break
 		}
-		n += s.tokens
+		requests++
+		tokens += s.tokens
 	}
-	return n
+	return requests, tokens
 }
 
 const (
@@ -146,7 +146,10 @@
 			c.RateWait = r.pace.Wait(now, pace.NewShare(r.rateLimit.perSecond, gateways))
 		}
 		if req.GapObjective > 0 {
-			c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
+			_, c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
+		}
+		if s.StatusSupersedes {
+			c.SentSinceReport, _ = r.sentSince(s.Status.ReceivedAt)
 		}
 		for _, p := range req.Parts {
 			if _, ok := r.cachedPrefixes[p.PrefixHash]; !ok {
