--- a/internal/state/pick/stall_test.go
+++ b/internal/state/pick/stall_test.go
@@ -18,7 +18,8 @@
 	busyUntil time.Duration
 	queue     []*simStream
 	running   []*simStream
-	report    simReport
+	// report is the newest one for gateways that use the engine, idleReport for the others.
+	report, idleReport simReport
 }
 
 type simPrefill struct {
@@ -47,6 +48,10 @@
 	simGapObjective = 150 * time.Millisecond
 	simFirst        = 250 * time.Millisecond
 	simReportPeriod = 200 * time.Millisecond
+	// simIdleReportPeriod is the time between reports of engines that a gateway has not used
+	// within simUse.
+	simIdleReportPeriod = time.Second
+	simUse              = 3 * time.Second
 	// simRatePerEngine is half of what an engine can serve.
 	simRatePerEngine = 17
 )
@@ -149,6 +154,9 @@
 			}
 			if now >= e.report.at+simReportPeriod {
 				e.report = simReport{at: now, prefilling: len(e.queue), running: len(e.running) + len(e.queue)}
+				if now >= e.idleReport.at+simIdleReportPeriod {
+					e.idleReport = e.report
+				}
 			}
 		}
 		for ; next <= now; next += time.Duration(rnd.ExpFloat64() * float64(time.Second) / float64(simRatePerEngine*size.engines)) {
@@ -164,11 +172,15 @@
 			}
 			var list []Candidate
 			for i, e := range engines {
+				report := e.idleReport
+				if k := len(g[i].sent); k > 0 && now-g[i].sent[k-1].at < simUse {
+					report = e.report
+				}
 				c := Candidate{Slots: 64, IdleConnection: true, State: fleet.State{
 					Endpoint:         fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", FailureDomain: domain(i)},
 					StatusSupersedes: true,
 					Status: fleet.Status{
-						ReceivedAt: testTime.Add(e.report.at), Alive: true, Running: e.report.running, Prefilling: e.report.prefilling,
+						ReceivedAt: testTime.Add(report.at), Alive: true, Running: report.running, Prefilling: report.prefilling,
 						Models: []fleet.Resident{{Model: "m"}},
 					},
 				}}
