--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -51,8 +51,11 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is twice what the operators' limits allow a client.
 	maxHeaderBytes = 32 << 10
-	// storeRetryDelay is the pause after a failed call of the store.
-	storeRetryDelay = 200 * time.Millisecond
+	// storeRetryDelay is the pause after a failed call of the store; it doubles up to
+	// maxStoreRetryDelay, which is within the time that the platform gives to notice that its
+	// store is back.
+	storeRetryDelay    = 200 * time.Millisecond
+	maxStoreRetryDelay = 800 * time.Millisecond
 	// ownReadInterval is the longest time that a gateway relies on the planner's observations
 	// before it reads the store itself; the store keeps its history for 20 s.
 	ownReadInterval = 8 * time.Second
@@ -90,7 +93,7 @@
 		return nil, err
 	}
 	var plane *control.Plane
-	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, OwnReadInterval: ownReadInterval},
+	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, MaxRetryDelay: maxStoreRetryDelay, OwnReadInterval: ownReadInterval},
 		func(v *watch.View) { plane.UpdateView(v) }, log)
 	plane, err := control.New(control.Settings{
 		GatewayID: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, ModelLoadWindow: cfg.ModelLoadLimit.Window, SubscribeInterval: subscribeInterval, DemandInterval: demandInterval,
@@ -99,12 +102,12 @@
 		return fail(err)
 	}
 	g.handler = proxy.New(proxy.Settings{
-		Headers: headers, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
+		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
-	plane.SetHooks(g.handler.TakeUsage, g.handler.AddCachedPrefixes, g.handler.MergeCrashRecord)
+	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord})
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -28,6 +28,9 @@
 	Incarnation int64
 	// EngineConfigHash is the hash of the engine's configuration at the gateway.
 	EngineConfigHash uint64
+	// ReportInterval is the longest time between two reports that the gateway asks for; 0 means
+	// the keeper's own interval. A change other than of the load is reported at once.
+	ReportInterval time.Duration
 	// UsedAdapters are the adapters that requests used on the endpoint since the last message.
 	UsedAdapters []string
 	// CachedPrefixes are the hashes of shared prompt prefixes that the endpoint has prefilled
@@ -137,10 +140,14 @@
 	// StoreVersion is the store's version, EndpointsDigest the digest of the endpoints at it.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
+	// ModelsDigest is the digest of the models in the endpoints' registrations.
+	ModelsDigest uint64
 	// ConfigVersion is the version of the configuration; ConfigConfirmedAge is the time since
 	// the store last confirmed that this version is the current one.
 	ConfigVersion      uint64
 	ConfigConfirmedAge time.Duration
+	// Gateways is the number of gateways that report demand to the planner, with its own.
+	Gateways int
 	// Resigned is set when the gateway no longer is the planner.
 	Resigned bool
 	// YieldedToken is the fencing token of a lease that the gateway yielded while the store
@@ -173,7 +180,7 @@
 
 // Decode returns the message of a datagram, or an error if the datagram is invalid.
 func Decode(data []byte) (Message, error) {
-	if len(data) == 0 {
+	if len(data) == 0 || !validLengths(data[1:]) {
 		return nil, errInvalidMessage
 	}
 	var m Message
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -55,6 +54,9 @@
 	Trailer http.Header
 	// IDHeader is the header field that an endpoint echoes in its response; ID is its value.
 	IDHeader, ID string
+	// DialTimeout bounds the opening of a connection, in addition to the pool's timeout; 0 sets
+	// no further bound.
+	DialTimeout time.Duration
 }
 
 // Response is a response whose header has been read; the caller must call Close.
@@ -107,7 +109,7 @@
 	c := p.get(key, time.Now())
 	reused := c != nil
 	if c == nil {
-		nc, err := p.dial(ctx, addr)
+		nc, err := p.dialWithin(ctx, addr, req.DialTimeout)
 		if err != nil {
 			return nil, &Error{Stage: Unsent, Cause: err}
 		}
@@ -141,7 +143,7 @@
 			// A failed write shows in the read of the response.
 		}()
 	}
-	resp, err := readResponse(c.br, req) //nolint:bodyclose // Response.Close ends the body with its connection.
+	resp, err := readResponse(c, req) //nolint:bodyclose // Response.Close ends the body with its connection.
 	if err != nil {
 		return fail(Sent, err)
 	}
@@ -159,14 +161,17 @@
 	return out, nil
 }
 
-// readResponse reads responses until the one with the request's id.
-func readResponse(br *bufio.Reader, req *Request) (*http.Response, error) {
+// readResponse reads responses until the one with the request's id. It bounds what it reads
+// of anything else, because a faulty endpoint may send bytes without end.
+func readResponse(c *conn, req *Request) (*http.Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	for range maxResponses {
-		resp, err := http.ReadResponse(br, httpReq)
+		c.headBytesLeft = maxHeadBytes
+		resp, err := http.ReadResponse(c.br, httpReq)
 		if err != nil {
 			return nil, err
 		}
+		c.headBytesLeft = unlimited
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -177,7 +182,10 @@
 		if got == "" {
 			return nil, fmt.Errorf("%w: a response with status %d names no request", errUnrelatedResponses, resp.StatusCode)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		switch _, err := io.CopyN(io.Discard, resp.Body, maxUnrelatedBytes); {
+		case err == nil:
+			return nil, fmt.Errorf("%w, one of them with over %d bytes", errUnrelatedResponses, maxUnrelatedBytes)
+		case !errors.Is(err, io.EOF):
 			return nil, err
 		}
 	}
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -26,8 +26,14 @@
 	SharedParts int
 	// OutputTokens is the largest number of output tokens.
 	OutputTokens int
-	// FailureDomain is the gateway's failure domain.
-	FailureDomain string
+	// FailureDomain is the gateway's failure domain, Gateway its name, and Gateways the number of
+	// gateways in the deployment.
+	FailureDomain, Gateway string
+	Gateways               int
+	// GapObjective is the latency objective for the gap between two events of a stream, or 0.
+	GapObjective time.Duration
+	// HeldOnly excludes endpoints that would have to load the adapter first.
+	HeldOnly bool
 	// Tried are the IDs of endpoints that are excluded because of an earlier attempt.
 	Tried []string
 }
@@ -41,6 +47,15 @@
 	return n
 }
 
+// SharedTokens returns the number of tokens of the parts that other requests share.
+func (r Request) SharedTokens() int {
+	n := 0
+	for _, p := range r.Parts[:min(r.SharedParts, len(r.Parts))] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // Candidate is an endpoint with the gateway's view of it.
 type Candidate struct {
 	State fleet.State
@@ -53,7 +68,12 @@
 	IdleConnection bool
 	// CachedTokens is the number of leading prompt tokens in the endpoint's prefix cache.
 	CachedTokens int
-	Health       health.Record
+	// SentTokens is the number of prompt tokens that this gateway sent to the endpoint for
+	// prefill within the request's gap objective.
+	SentTokens int
+	// SentSinceReport counts this gateway's requests that the keeper's report doesn't show yet.
+	SentSinceReport int
+	Health          health.Record
 	// RateWait is the time until this gateway's share of the endpoint's rate limit allows
 	// another request, 0 if it does now or there is no limit.
 	RateWait time.Duration
@@ -67,6 +87,16 @@
 	MeanPrefillTokens int
 	// MeanServiceTime is the mean time of a request at a plain service.
 	MeanServiceTime time.Duration
+	// MeanRunTime is the mean time from a request's dispatch to its end at an engine.
+	MeanRunTime time.Duration
+	// ModelLoadTime is the time to load a model from the weight store.
+	ModelLoadTime time.Duration
+}
+
+// slotWait returns the wait for a slot of an engine whose slots are all in use, with a number
+// of requests waiting before this one: a slot becomes free each run time divided by the slots.
+func (m LatencyModel) slotWait(slots, waiting int) time.Duration {
+	return m.MeanRunTime * time.Duration(waiting+1) / time.Duration(max(1, slots))
 }
 
 // Choice is the endpoint chosen for a request, with the estimates behind the choice.
@@ -114,9 +144,6 @@
 	newConnectionCost = 20 * time.Millisecond
 	// failureCost is the cost of an attempt that fails and is retried.
 	failureCost = 600 * time.Millisecond
-	// fullBatchWait is the wait for a slot in a full batch: a part of the time that a typical
-	// request runs.
-	fullBatchWait = 300 * time.Millisecond
 	// homeCachedShare is the part of the shared prompt that is assumed to be in the prefix
 	// cache of the prompt's home, even if this gateway sent nothing there, because all
 	// gateways prefer the same homes.
@@ -126,14 +153,18 @@
 	// prefillChunkStep is the time by which the prefill of a chunk of 2,048 prompt tokens delays
 	// an output token.
 	prefillChunkStep = 45 * time.Millisecond
-	// adapterSlotWait is the wait for an adapter slot while running requests use all of them: a
-	// part of the time that a typical request runs.
-	adapterSlotWait = 400 * time.Millisecond
-	// modelLoadWait is the wait for an adapter while the engine loads a model and accepts no
-	// order: half of a load of 3 s.
-	modelLoadWait = 1500 * time.Millisecond
+	// adapterSlotRunShare is the part of a typical run after which one of the adapters in use on
+	// an engine is free: its runs began at different times.
+	adapterSlotRunShare = 0.25
+	// modelLoadShare is the part of a model's load that is left on average, while the engine
+	// accepts no order for an adapter.
+	modelLoadShare = 0.5
+	// preemptionRuns is the time that a request loses, in typical runs, per unit of KV cache that
+	// is missing for it.
+	preemptionRuns = 2
 	// silentKeeperCost keeps requests off a host whose keeper is silent, because it may be
-	// frozen, as long as another host can take them.
+	// frozen, as long as another host can take them. A freeze lasts seconds whatever the
+	// request's objective is.
 	silentKeeperCost = 500 * time.Millisecond
 	// maxSilentPrefills bounds this gateway's requests that wait for a first token from an
 	// endpoint whose keeper is silent.
@@ -199,8 +230,8 @@
 	if req.ModelName.Model == "" {
 		return true
 	}
-	model, _ := fleet.Holds(c.State.Residents(), req.ModelName)
-	return model
+	modelHeld, nameHeld := fleet.Holds(c.State.Residents(), req.ModelName)
+	return nameHeld || modelHeld && !req.HeldOnly
 }
 
 func scorePlain(req Request, c Candidate, m LatencyModel, now time.Time) (Choice, time.Duration) {
@@ -218,11 +249,7 @@
 	cached := min(c.CachedTokens, total)
 	_, resident := fleet.Holds(c.State.Residents(), req.ModelName)
 	if c.State.ID == home && resident {
-		shared := 0
-		for _, p := range req.Parts[:req.SharedParts] {
-			shared += p.Tokens
-		}
-		cached = max(cached, int(homeCachedShare*float64(shared)))
+		cached = max(cached, int(homeCachedShare*float64(req.SharedTokens())))
 	}
 	prefill := total - cached
 	backlog := c.PrefillTokens
@@ -233,15 +260,15 @@
 		backlog += int(weight * float64(others*m.MeanPrefillTokens))
 	}
 	est := time.Duration(backlog+prefill) * m.PrefillPerToken
-	running := max(c.InFlight, c.State.Status.Running)
+	running := max(c.InFlight, c.State.Status.Running+c.SentSinceReport)
 	est += time.Duration(running) * stepPerRunning
 	if running >= c.Slots && c.Slots > 0 {
-		est += fullBatchWait
+		est += m.slotWait(c.Slots, max(c.State.Status.Waiting, running-c.Slots))
 	}
 	if s := c.State.Status; c.State.StatusSupersedes && s.KVTotalTokens > 0 {
 		kvShare := float64(s.KVUsedTokens+prefill+req.OutputTokens) / float64(s.KVTotalTokens)
 		if kvShare > kvPreemptionShare {
-			est += time.Duration((kvShare - kvPreemptionShare) * float64(10*fullBatchWait))
+			est += time.Duration((kvShare - kvPreemptionShare) * float64(preemptionRuns*m.MeanRunTime))
 		}
 	}
 	orders := 0
@@ -250,9 +277,9 @@
 		orders = 1
 		switch {
 		case c.State.StatusSupersedes && (c.State.Status.ExecutingOrder || len(c.State.Status.LoadingModels) > 0):
-			est += modelLoadWait
+			est += time.Duration(modelLoadShare * float64(m.ModelLoadTime))
 		case c.State.StatusSupersedes && c.State.Status.AdaptersInUse >= adapterSlots:
-			est += adapterSlotWait
+			est += time.Duration(adapterSlotRunShare * float64(m.MeanRunTime))
 		case adapterCount(c.State) >= adapterSlots:
 			est += adapterEvictTime
 			orders = 2
@@ -263,11 +290,11 @@
 		}
 	}
 	est = time.Duration(float64(est) * c.Health.LatencyRatio(now))
-	cost := est + time.Duration(orders)*orderCost
+	cost := est + time.Duration(orders)*orderCost + stallCost(c.SentTokens, prefill, req.GapObjective, time.Duration(float64(m.PrefillPerToken)*c.Health.LatencyRatio(now)))
 	if c.State.KeeperSilent {
 		cost += silentKeeperCost
 	}
-	cost += extraCost(req, c, now)
+	cost += extraCost(req, c, now) + affinityCost(req, c.State.Endpoint)
 	return Choice{ID: c.State.ID, Estimate: est, LoadAdapter: !resident, PrefillTokens: prefill, BacklogTokens: backlog, BacklogTime: time.Duration(backlog) * m.PrefillPerToken}, cost
 }
 
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -15,6 +15,7 @@
 	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/dgram"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -97,6 +98,9 @@
 			return false
 		}
 	})
+	if n := b.GatewayCount(); n != 2 {
+		t.Errorf("the second gateway counts %d gateways, want 2", n)
+	}
 	if got.StoreVersion != 40 || got.EndpointsDigest != 99 || got.ConfigVersion != 7 {
 		t.Errorf("got observation %+v", got)
 	}
@@ -177,13 +181,55 @@
 		{"not before the refresh interval while it stays silent", &planner{announcedAt: ago(2 * time.Second), holder: "h"}, ago(time.Second), false},
 		{"after the refresh interval while it stays silent", &planner{announcedAt: ago(4 * time.Second), holder: "h"}, ago(leaseRefreshInterval), true},
 		{"sooner while nobody holds the lease", &planner{}, ago(freeLeaseInterval), true},
-		{"the holder renews", &planner{leaseUntil: now.Add(time.Second), holder: "self"}, ago(leaseRefreshInterval), true},
-		{"the holder renews although a frozen gateway announced itself", &planner{leaseUntil: now.Add(time.Second), announcedAt: ago(0), holder: "h"}, ago(leaseRefreshInterval), true},
-		{"the holder retries sooner after a failed refresh", &planner{leaseUntil: now.Add(time.Second), holder: "self", refreshFailures: 1}, ago(leaseRetryInterval), true},
-		{"the holder does not renew before the refresh interval", &planner{leaseUntil: now.Add(time.Second), holder: "self"}, ago(time.Second), false},
+		{"the holder renews", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self"}, ago(leaseRefreshInterval), true},
+		{"the holder renews although a frozen gateway announced itself", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), announcedAt: ago(0), holder: "h"}, ago(leaseRefreshInterval), true},
+		{"the holder retries sooner after a failed refresh", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self", refreshFailures: 1}, ago(leaseRetryInterval), true},
+		{"the holder does not renew before the refresh interval", &planner{suspended: notSuspended, leaseUntil: now.Add(time.Second), holder: "self"}, ago(time.Second), false},
 	} {
 		if got := tc.p.refreshDue(tc.lastRefresh, now); got != tc.want {
 			t.Errorf("%s: due %v", tc.name, got)
 		}
 	}
 }
+
+// TestKeepersAbsent checks that keepers count as absent only once they have had time to start.
+func TestKeepersAbsent(t *testing.T) {
+	p := startTestGateway(t, "a", &rows{rows: map[string]store.Row{}}, &watch.View{Endpoints: map[string]fleet.Endpoint{"e": {ID: "e", Service: "s", Address: "127.0.0.1:9"}}})
+	if p.KeepersAbsent("s") {
+		t.Error("keepers are absent right after the start")
+	}
+	p.startedAt = time.Now().Add(-keeperStartupTime)
+	if !p.KeepersAbsent("s") {
+		t.Error("no keeper has reported, and keepers are not absent")
+	}
+	for age, want := range map[time.Duration]bool{time.Second: false, keeperSilentFor + time.Second: true} {
+		p.mu.Lock()
+		p.reports["127.0.0.1:9"] = &report{status: fleet.Status{ReceivedAt: time.Now().Add(-age)}}
+		p.mu.Unlock()
+		if got := p.KeepersAbsent("s"); got != want {
+			t.Errorf("the last report came %v ago: absent %v", age, got)
+		}
+	}
+}
+
+func notSuspended() time.Duration { return 0 }
+
+// TestSuspendedPlanner guards against orders of a planner whose machine was suspended until
+// another gateway could take its lease.
+func TestSuspendedPlanner(t *testing.T) {
+	var suspended time.Duration
+	now := time.Now()
+	p := &planner{suspended: func() time.Duration { return suspended }, leaseUntil: now.Add(3 * time.Second)}
+	if !p.holdsLease(now) {
+		t.Error("the planner does not hold its lease before the suspension")
+	}
+	suspended = 4 * time.Second
+	if p.holdsLease(now) {
+		t.Error("the planner still counts on its lease after a suspension of 4s")
+	}
+	p.wake = make(chan struct{}, 1)
+	p.handleAnnouncement(&dgram.PlannerStatus{Gateways: 3}, "other", now)
+	if p.holder != "other" {
+		t.Error("the planner ignores the announcement of the gateway that took over")
+	}
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,18 +44,35 @@
 	// trustedReportAge is the age up to which a report takes precedence over the registration.
 	// A registration may be as old as one heartbeat interval and one poll interval.
 	trustedReportAge = 1800 * time.Millisecond
-	// keeperSilentAfter is the age of a keeper's newest report from which its host is suspected
-	// of being frozen: more than two heartbeat intervals and the wait for a lost datagram.
+	// keeperSilentAfter is the age of the newest report of a keeper whose engine is in use from
+	// which its host is suspected of being frozen: more than two heartbeat intervals and the
+	// wait for a lost datagram.
 	keeperSilentAfter = 650 * time.Millisecond
+	// idleReportInterval is the time between reports on the load of engines that this gateway
+	// doesn't use. There are as many of them as the deployment has engines.
+	idleReportInterval = time.Second
+	// idleKeeperSilentAfter is keeperSilentAfter for the keepers of these engines.
+	idleKeeperSilentAfter = idleReportInterval + keeperSilentAfter
 	// keeperSilentFor is the age at which the suspicion ends, because a keeper may be gone while
 	// its endpoint is alive.
 	keeperSilentFor = 20 * time.Second
-	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to all keepers, the
-	// others to those that never reported. After a loss of all hosts, keepers start some tenths
-	// of a second apart.
+	// keeperStartupTime is the time after a gateway's start in which keepers may not have
+	// reported yet: hosts start within 0.3 s of one another, and restart within about 2 s.
+	keeperStartupTime = 3 * time.Second
+	// maxSnapshotAge is the age from which the states are computed anew even without a report,
+	// because a keeper may have fallen silent.
+	maxSnapshotAge = 50 * time.Millisecond
+	// ticksPerSubscription divides SubscribeInterval: one tick subscribes to the keepers of all
+	// engines in use, each one to those that never reported. After a loss of all hosts, keepers
+	// start some tenths of a second apart.
 	ticksPerSubscription = 4
-	// defaultGatewayCount is assumed until a keeper has reported the number of gateways.
-	defaultGatewayCount = 8
+	// ticksPerIdleSubscription is the number of ticks between subscriptions to the keeper of an
+	// engine that isn't in use; it is several times in a subscription's life.
+	ticksPerIdleSubscription = 3 * ticksPerSubscription
+	// defaultGatewayCount is assumed until a keeper or the planner has reported the number of
+	// gateways. It is that of a large deployment, because the gateways' shares of common limits
+	// must not exceed them.
+	defaultGatewayCount = 100
 )
 
 // report is the newest report of one keeper.
@@ -77,28 +95,39 @@
 
 // Plane holds the newest keeper reports and the gateway's part in planning.
 type Plane struct {
-	cfg  Settings
-	view func() *watch.View
-	// takeUsage returns the adapters and the hashes of the prompt prefixes used on an endpoint
-	// since the last call; addPrefixes takes hashes that other gateways report.
-	takeUsage   func(id string) (adapters []string, prefixes []uint64)
-	addPrefixes func(e fleet.Endpoint, prefixes []uint64)
-	// mergeCrashRecord takes crash records from other gateways.
-	mergeCrashRecord func(rec poison.CrashRecord)
+	cfg   Settings
+	view  func() *watch.View
+	hooks Hooks
 	// observe takes the planner's observations of the store.
 	observe func(watch.Observation)
 	conn    net.PacketConn
 	log     *logrus.Entry
+	// startedAt is when the plane was made.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// reports holds the keepers' newest reports, by address of the endpoint.
-	reports      map[string]*report
-	known        map[string]bool
+	reports map[string]*report
+	known   map[string]bool
+	// usedSince holds, by endpoint id, the time from which this gateway asks for reports at the
+	// keeper's own interval.
+	usedSince    map[string]time.Time
 	changed      chan struct{}
 	demand       *demandMeter
 	planner      *planner
-	snapshot     atomic.Pointer[[]fleet.State]
 	configHashes engineConfigHashes
+	// byID holds the endpoints of sortedView in order of their ids.
+	byID       []fleet.Endpoint
+	sortedView *watch.View
+	snapshot   atomic.Pointer[snapshot]
+	// outdated is set once the snapshot lacks a report or the newest view.
+	outdated atomic.Bool
+}
+
+// snapshot holds all endpoints with their newest reports at a time, in order of their ids.
+type snapshot struct {
+	at     time.Time
+	states []fleet.State
 }
 
 var _ proxy.ControlPlane = (*Plane)(nil)
@@ -111,23 +140,35 @@
 		return nil, fmt.Errorf("listen for datagrams on %s: %w; choose a free port", cfg.Listen, err)
 	}
 	p := &Plane{
-		cfg: cfg, view: view, takeUsage: func(string) ([]string, []uint64) { return nil, nil }, addPrefixes: func(fleet.Endpoint, []uint64) {}, mergeCrashRecord: func(poison.CrashRecord) {},
+		cfg: cfg, view: view,
+		hooks: Hooks{
+			TakeUsage: func(string) ([]string, []uint64) { return nil, nil }, RecentlyUsed: func(string) bool { return false },
+			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashRecord: func(poison.CrashRecord) {},
+		},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
-		reports: map[string]*report{}, changed: make(chan struct{}), demand: newDemandMeter(),
+		startedAt: time.Now(), reports: map[string]*report{}, usedSince: map[string]time.Time{}, changed: make(chan struct{}), demand: newDemandMeter(),
 	}
 	p.planner = newPlanner(p, lease, table)
-	empty := []fleet.State{}
-	p.snapshot.Store(&empty)
+	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
 
-// SetHooks sets the function that returns the adapters and prompt prefixes used on an endpoint
-// since its last call, and those that take prefixes and crash records from other gateways. It
-// must be called before Run.
-func (p *Plane) SetHooks(takeUsage func(id string) ([]string, []uint64), addPrefixes func(fleet.Endpoint, []uint64), mergeCrashRecord func(poison.CrashRecord)) {
-	p.takeUsage, p.addPrefixes, p.mergeCrashRecord = takeUsage, addPrefixes, mergeCrashRecord
+// Hooks connect a Plane to the part of the gateway that handles requests.
+type Hooks struct {
+	// TakeUsage returns the adapters and the hashes of the prompt prefixes used on an endpoint
+	// since the last call.
+	TakeUsage func(id string) (adapters []string, prefixes []uint64)
+	// RecentlyUsed reports whether the gateway has sent an endpoint a request lately.
+	RecentlyUsed func(id string) bool
+	// AddPrefixes takes hashes of prompt prefixes, MergeCrashRecord crash records, from other
+	// gateways.
+	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
+	MergeCrashRecord func(rec poison.CrashRecord)
 }
 
+// SetHooks sets the hooks. It must be called before Run.
+func (p *Plane) SetHooks(h Hooks) { p.hooks = h }
+
 // OnObservation sets the function that takes the planner's observations of the store. It must
 // be called before Run.
 func (p *Plane) OnObservation(observe func(watch.Observation)) { p.observe = observe }
@@ -143,11 +184,7 @@
 		tick := time.NewTicker(p.cfg.SubscribeInterval / ticksPerSubscription)
 		defer tick.Stop()
 		for n := 0; ; n++ {
-			if n%ticksPerSubscription == 0 {
-				p.subscribeAll()
-			} else {
-				p.subscribeUnreported()
-			}
+			p.subscribeDue(n, time.Now())
 			select {
 			case <-tick.C:
 			case <-ctx.Done():
@@ -163,7 +200,26 @@
 func (p *Plane) ResignPlanner() { p.planner.resign.Do(func() { close(p.planner.resigned) }) }
 
 // States returns all endpoints with their newest keeper reports.
-func (p *Plane) States() []fleet.State { return *p.snapshot.Load() }
+func (p *Plane) States() []fleet.State {
+	if s := p.snapshot.Load(); !p.outdated.Load() && time.Since(s.at) < maxSnapshotAge {
+		return s.states
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.statesLocked()
+}
+
+// statesLocked is States for a caller that holds mu.
+func (p *Plane) statesLocked() []fleet.State {
+	now := time.Now()
+	if s := p.snapshot.Load(); !p.outdated.Load() && now.Sub(s.at) < maxSnapshotAge {
+		return s.states
+	}
+	p.outdated.Store(false)
+	states := p.buildStates(now)
+	p.snapshot.Store(&snapshot{now, states})
+	return states
+}
 
 // UpdateView applies a new view of the store. It subscribes to the keepers of new endpoints at
 // once and, on the planner, announces the observation.
@@ -179,7 +235,9 @@
 	for id := range v.Endpoints {
 		p.known[id] = true
 	}
-	p.rebuildSnapshot(true)
+	p.outdated.Store(true)
+	p.wakeWaiting()
+	p.dropOldReports(v, time.Now())
 	p.mu.Unlock()
 	if v.HasConfig {
 		p.subscribe(v, fresh)
@@ -187,20 +245,39 @@
 	p.planner.announce(v, time.Now())
 }
 
-// rebuildSnapshot rebuilds the snapshot; notify wakes waiting requests.
-func (p *Plane) rebuildSnapshot(notify bool) {
-	v := p.view()
-	now := time.Now()
-	out := make([]fleet.State, 0, len(v.Endpoints))
-	addrs := make(map[string]bool, len(v.Endpoints))
+// wakeWaiting wakes the requests that wait for a change of the states.
+func (p *Plane) wakeWaiting() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// dropOldReports drops the reports of keepers that are silent and beside no listed endpoint.
+func (p *Plane) dropOldReports(v *watch.View, now time.Time) {
+	listed := make(map[string]bool, len(v.Endpoints))
 	for _, e := range v.Endpoints {
-		addrs[e.Address] = true
+		listed[e.Address] = true
+	}
+	for a, r := range p.reports {
+		if !listed[a] && now.Sub(r.status.ReceivedAt) > keeperSilentFor {
+			delete(p.reports, a)
+		}
+	}
+}
+
+// buildStates combines the endpoints of the view with the newest reports.
+func (p *Plane) buildStates(now time.Time) []fleet.State {
+	if v := p.view(); v != p.sortedView {
+		p.sortedView = v
+		p.byID = slices.SortedFunc(maps.Values(v.Endpoints), func(a, b fleet.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	}
+	out := make([]fleet.State, 0, len(p.byID))
+	for _, e := range p.byID {
 		s := fleet.State{Endpoint: e}
-		if r, ok := p.reports[e.Address]; ok {
-			age := now.Sub(r.status.ReceivedAt)
-			s.KeeperSilent = age > keeperSilentAfter && age < keeperSilentFor
+		r, ok := p.reports[e.Address]
+		if ok {
+			s.KeeperSilent = p.keeperSilent(e.ID, r.status.ReceivedAt, now)
 		}
-		if r, ok := p.reports[e.Address]; ok && supersedes(r.status, e, now) {
+		if ok && supersedes(r.status, e, now) {
 			if r.endpoint != "" && r.endpoint != e.ID {
 				// The host runs another incarnation; the registered one is gone.
 				continue
@@ -209,17 +286,20 @@
 		}
 		out = append(out, s)
 	}
-	for a := range p.reports {
-		if !addrs[a] && now.Sub(p.reports[a].status.ReceivedAt) > keeperSilentFor {
-			delete(p.reports, a)
-		}
+	return out
+}
+
+// keeperSilent reports whether the keeper of an endpoint last reported so long ago that its host
+// may be frozen.
+func (p *Plane) keeperSilent(id string, reportedAt, now time.Time) bool {
+	age := now.Sub(reportedAt)
+	if age >= keeperSilentFor {
+		return false
 	}
-	slices.SortFunc(out, func(a, b fleet.State) int { return compareIDs(a.ID, b.ID) })
-	p.snapshot.Store(&out)
-	if notify {
-		close(p.changed)
-		p.changed = make(chan struct{})
+	if since, used := p.usedSince[id]; used && now.Sub(since) > keeperSilentAfter {
+		return age > keeperSilentAfter
 	}
+	return age > idleKeeperSilentAfter
 }
 
 // supersedes reports whether a keeper's report is used in place of the endpoint's registration.
@@ -237,16 +317,6 @@
 	}
 }
 
-func compareIDs(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // keeperAddr returns the address of the keeper beside an endpoint.
 func (p *Plane) keeperAddr(e fleet.Endpoint) (net.Addr, error) {
 	ap, err := netip.ParseAddrPort(e.Address)
@@ -268,29 +338,46 @@
 	return s.Engine
 }
 
-func (p *Plane) subscribeAll() {
+// subscribeDue sends the subscriptions that are due at a tick: to keepers that never reported,
+// to those of engines that are in use or have just come into use, and to a part of the others.
+// It returns their number.
+func (p *Plane) subscribeDue(tick int, now time.Time) int {
 	v := p.view()
-	p.subscribe(v, slices.Collect(maps.Values(v.Endpoints)))
-}
-
-// subscribeUnreported subscribes to the keepers that never reported.
-func (p *Plane) subscribeUnreported() {
-	v := p.view()
-	var unreported []fleet.Endpoint
+	var due []fleet.Endpoint
 	p.mu.Lock()
 	for _, e := range v.Endpoints {
-		if _, reported := p.reports[e.Address]; !reported {
-			unreported = append(unreported, e)
+		_, reported := p.reports[e.Address]
+		_, wasUsed := p.usedSince[e.ID]
+		used := p.hooks.RecentlyUsed(e.ID)
+		switch {
+		case used && !wasUsed:
+			p.usedSince[e.ID] = now
+		case !used && wasUsed:
+			delete(p.usedSince, e.ID)
+		}
+		period := ticksPerIdleSubscription
+		if used {
+			period = ticksPerSubscription
+		}
+		// The id spreads the subscriptions over the ticks.
+		if !reported || used && !wasUsed || (uint64(tick)+poison.RendezvousWeight("tick", e.ID))%uint64(period) == 0 {
+			due = append(due, e)
+		}
+	}
+	for id := range p.usedSince {
+		if _, listed := v.Endpoints[id]; !listed {
+			delete(p.usedSince, id)
 		}
 	}
 	p.mu.Unlock()
-	p.subscribe(v, unreported)
+	p.subscribe(v, due)
+	return len(due)
 }
 
 func (p *Plane) subscribe(v *watch.View, endpoints []fleet.Endpoint) {
 	for _, e := range endpoints {
 		if spec := p.engineSpec(v, e); spec != nil {
-			adapters, prefixes := p.takeUsage(e.ID)
+			adapters, prefixes := p.hooks.TakeUsage(e.ID)
 			p.send(e, &dgram.KeeperRequest{UsedAdapters: adapters, CachedPrefixes: prefixes, EngineConfigHash: p.engineConfigHash(v.Config.Version, e.Service, spec)})
 		}
 	}
@@ -298,6 +385,9 @@
 
 func (p *Plane) send(e fleet.Endpoint, req *dgram.KeeperRequest) {
 	req.Gateway, req.Endpoint, req.Incarnation = p.cfg.GatewayID, e.ID, e.Incarnation
+	if !p.hooks.RecentlyUsed(e.ID) {
+		req.ReportInterval = idleReportInterval
+	}
 	addr, err := p.keeperAddr(e)
 	if err == nil {
 		var data []byte
@@ -322,27 +412,35 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		m, err := dgram.Decode(buf[:n])
-		if err != nil {
-			p.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
-			continue
-		}
-		switch m := m.(type) {
-		case *dgram.EndpointState:
-			p.handleEndpointState(m)
-		case *dgram.Demand:
-			p.planner.handleDemand(m, from.String())
-		case *dgram.PlannerStatus:
-			p.planner.handleAnnouncement(m, from.String(), time.Now())
-			if !m.Resigned && p.allReported() {
-				p.observe(watch.Observation{StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge)})
-			}
+		p.handleDatagram(buf[:n], from.String())
+	}
+}
+
+// handleDatagram applies a datagram, or drops it if it is no message.
+func (p *Plane) handleDatagram(data []byte, from string) {
+	m, err := dgram.Decode(data)
+	if err != nil {
+		p.log.WithError(err).WithField("from", from).Debug("a datagram was dropped")
+		return
+	}
+	switch m := m.(type) {
+	case *dgram.EndpointState:
+		p.handleEndpointState(m)
+	case *dgram.Demand:
+		p.planner.handleDemand(m, from)
+	case *dgram.PlannerStatus:
+		p.planner.handleAnnouncement(m, from, time.Now())
+		if !m.Resigned {
+			p.observe(watch.Observation{
+				StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
+				ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
+			})
 		}
 	}
 }
 
 // allReported reports whether keeper reports supersede the registrations of all engines. If
-// one doesn't, the gateway reads the registrations itself.
+// one doesn't, the gateway needs the models in the registrations.
 func (p *Plane) allReported() bool {
 	v := p.view()
 	for _, s := range p.States() {
@@ -381,15 +479,16 @@
 	changed := status.Sequence != r.status.Sequence || status.Alive != r.status.Alive || status.ExecutingOrder != r.status.ExecutingOrder || len(status.Models) != len(r.status.Models) || len(status.LoadingAdapters) > 0 || len(m.RefusedAdapters) > 0
 	r.incarnation, r.sequence, r.status, r.endpoint, r.gateways, r.refusedAdapters = m.KeeperIncarnation, m.MessageSequence, status, m.Endpoint, m.Gateways, m.RefusedAdapters
 	r.move = moveProgress{m.MoveFencingToken, m.MoveID, m.MoveDone}
-	p.rebuildSnapshot(changed)
+	p.outdated.Store(true)
+	if changed {
+		p.wakeWaiting()
+	}
 	for _, rec := range m.CrashRecords {
-		p.mergeCrashRecord(fromWire(rec))
+		p.hooks.MergeCrashRecord(fromWire(rec))
 	}
 	if len(m.CachedPrefixes) > 0 {
-		for _, s := range *p.snapshot.Load() {
-			if s.Address == m.Address {
-				p.addPrefixes(s.Endpoint, m.CachedPrefixes)
-			}
+		if e, ok := p.view().Endpoints[m.Endpoint]; ok && e.Address == m.Address {
+			p.hooks.AddPrefixes(e, m.CachedPrefixes)
 		}
 	}
 }
@@ -471,16 +570,37 @@
 // RecordNoCapacity records that a request for a model found no free slot or adapter slot.
 func (p *Plane) RecordNoCapacity(service, model string) { p.demand.noSlot(service, model, time.Now()) }
 
-// GatewayCount returns the largest number of gateways that a keeper reports, or a default until
-// one has reported.
+// KeepersAbsent reports whether no keeper of a service's endpoints has reported lately, so that
+// no model or adapter can be loaded there. It is false until keepers have had time to start.
+func (p *Plane) KeepersAbsent(service string) bool {
+	now := time.Now()
+	if now.Sub(p.startedAt) < keeperStartupTime {
+		return false
+	}
+	v := p.view()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range v.Endpoints {
+		if e.Service != service {
+			continue
+		}
+		if r, ok := p.reports[e.Address]; ok && now.Sub(r.status.ReceivedAt) < keeperSilentFor {
+			return false
+		}
+	}
+	return true
+}
+
+// GatewayCount returns the largest number of gateways that a keeper or the planner reports, or a
+// default until one has reported.
 func (p *Plane) GatewayCount() int {
+	n := int(p.planner.gateways.Load())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
 	for _, r := range p.reports {
 		n = max(n, r.gateways)
 	}
-	if n == 0 {
+	if n <= 0 {
 		return defaultGatewayCount
 	}
 	return n
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,31 +28,46 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		msg, err := dgram.Decode(buf[:n])
-		if err != nil {
-			k.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
-			continue
-		}
-		req, ok := msg.(*dgram.KeeperRequest)
-		if !ok {
-			continue
-		}
-		k.mu.Lock()
-		urgent := k.applyRequest(req, from.String(), time.Now())
-		if _, known := k.subscribers[from.String()]; known || len(k.subscribers) < maxSubscribers {
-			if !known {
-				k.lastSentAt = time.Time{}
-			}
-			k.subscribers[from.String()] = subscriber{gateway: req.Gateway, lastSeen: time.Now()}
-			k.subscriberAddrs[from.String()] = from
+		k.handleDatagram(buf[:n], from)
+	}
+}
+
+// handleDatagram applies a gateway's request, or drops a datagram that is none.
+func (k *Keeper) handleDatagram(data []byte, from net.Addr) {
+	msg, err := dgram.Decode(data)
+	if err != nil {
+		k.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
+		return
+	}
+	req, ok := msg.(*dgram.KeeperRequest)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	urgent := k.applyRequest(req, from.String(), time.Now())
+	k.subscribe(req, from, time.Now())
+	k.mu.Unlock()
+	if urgent {
+		select {
+		case k.wake <- struct{}{}:
+		default:
 		}
-		k.mu.Unlock()
-		if urgent {
-			select {
-			case k.wake <- struct{}{}:
-			default:
-			}
+	}
+}
+
+// subscribe records that a gateway is to get reports; a new one gets the first at the next poll.
+func (k *Keeper) subscribe(req *dgram.KeeperRequest, from net.Addr, now time.Time) {
+	s, known := k.subscribers[from.String()]
+	if !known {
+		if len(k.subscribers) >= maxSubscribers {
+			return
 		}
+		s = &subscriber{addr: from}
+		k.subscribers[from.String()] = s
+	}
+	s.gateway, s.lastSeen, s.interval = req.Gateway, now, k.cfg.HeartbeatInterval
+	if req.ReportInterval > 0 {
+		s.interval = max(s.interval, min(req.ReportInterval, maxReportInterval))
 	}
 }
 
@@ -76,7 +92,7 @@
 	for _, m := range req.CrashRecords {
 		if _, known := k.crashRecords[m.Fingerprint]; known || len(k.crashRecords) < maxCrashRecords {
 			k.crashRecords[m.Fingerprint] = receivedCrashRecord{record: m, receivedAt: now}
-			k.lastSentAt = time.Time{}
+			k.reportDue = true
 		}
 	}
 	urgent := len(req.CrashRecords) > 0
@@ -84,7 +100,7 @@
 		n := fleet.ParseModelName(w)
 		if _, held := fleet.Holds(k.report.Models, n); held {
 			// The gateway missed the report that lists the adapter.
-			k.lastSentAt = time.Time{}
+			k.reportDue = true
 		}
 		if _, ok := k.wantedAdapters[n]; !ok {
 			k.wantedAdapters[n] = now
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,16 +35,17 @@
 	incarnation               int64
 	inFlight                  int
 	prefilling, prefillTokens int
-	health                    health.Record
-	cachedPrefixes            map[uint64]*list.Element
-	lru                       *list.List
+	// sends are the latest requests to the endpoint with their tokens to prefill, oldest first.
+	sends          []prefillSend
+	health         health.Record
+	cachedPrefixes map[uint64]*list.Element
+	lru            *list.List
 	// usedAdapters are the adapters requested since the last takeUsedAdapters.
 	usedAdapters map[string]struct{}
 	// activeNames counts the requests in flight by model name.
 	activeNames map[string]int
 	// prefilledPrefixes are the shared prompt prefixes prefilled since the last takePrefilledPrefixes.
 	prefilledPrefixes []uint64
-	lastUse           time.Time
 	// rateLimit is what the endpoint's last readable answer named; invalidRateLimit is set
 	// once an answer wasn't readable.
 	rateLimit        rateLimit
@@ -52,6 +54,27 @@
 	pace pace.Pace
 }
 
+// prefillSend is the prefill that one request to an endpoint needs.
+type prefillSend struct {
+	at     time.Time
+	tokens int
+}
+
+// maxSends bounds the requests that are kept to tell what an endpoint was sent lately.
+const maxSends = 64
+
+// sentSince returns the number of requests, and their prompt tokens to prefill, since a time.
+func (r *endpointRecord) sentSince(since time.Time) (requests, tokens int) {
+	for _, s := range slices.Backward(r.sends) {
+		if s.at.Before(since) {
+			break
+		}
+		requests++
+		tokens += s.tokens
+	}
+	return requests, tokens
+}
+
 const (
 	// initialPrefillPerToken is a prefill rate of 40 prompt tokens a millisecond, that of
 	// current engines.
@@ -62,6 +85,9 @@
 	// initialServiceTime is the time of a typical plain call, assumed until calls have been
 	// measured.
 	initialServiceTime = 50 * time.Millisecond
+	// initialRunTime is the time of a typical run at an engine, assumed until runs have been
+	// measured.
+	initialRunTime = time.Second
 	// meanWeight is the weight of a new measurement in the moving means.
 	meanWeight = 0.05
 	// minRatioTokens is the number of prefill tokens above which a request is used to measure
@@ -90,13 +116,13 @@
 func (t *tracker) serviceLatencyModel(service string) pick.LatencyModel {
 	m, ok := t.latencyModels[service]
 	if !ok {
-		m = pick.LatencyModel{PrefillPerToken: initialPrefillPerToken, MeanPrefillTokens: initialPrefillTokens, MeanServiceTime: initialServiceTime}
+		m = pick.LatencyModel{PrefillPerToken: initialPrefillPerToken, MeanPrefillTokens: initialPrefillTokens, MeanServiceTime: initialServiceTime, MeanRunTime: initialRunTime}
 	}
 	return m
 }
 
-// candidates returns the endpoints of the request's service with what the gateway knows of
-// them; gateways is the number of gateways that share an endpoint's rate limit.
+// candidates returns the endpoints that serve the request's model, or its service if it names
+// none, with what the gateway knows of them; gateways is the number of gateways that share an endpoint's rate limit.
 func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, gateways int, connected func(e fleet.Endpoint) bool) []pick.Candidate {
 	now := time.Now()
 	t.mu.Lock()
@@ -106,6 +132,11 @@
 		if s.Service != req.Service {
 			continue
 		}
+		if req.ModelName.Model != "" {
+			if held, _ := fleet.Holds(s.Residents(), req.ModelName); !held {
+				continue
+			}
+		}
 		r := t.endpoint(s.Endpoint)
 		c := pick.Candidate{State: s, Slots: s.Slots, InFlight: r.inFlight, Prefilling: r.prefilling, PrefillTokens: r.prefillTokens, Health: r.health, IdleConnection: connected(s.Endpoint)}
 		if c.Slots == 0 {
@@ -114,6 +145,12 @@
 		if r.rateLimit.named {
 			c.RateWait = r.pace.Wait(now, pace.NewShare(r.rateLimit.perSecond, gateways))
 		}
+		if req.GapObjective > 0 {
+			_, c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
+		}
+		if s.StatusSupersedes {
+			c.SentSinceReport, _ = r.sentSince(s.Status.ReceivedAt)
+		}
 		for _, p := range req.Parts {
 			if _, ok := r.cachedPrefixes[p.PrefixHash]; !ok {
 				break
@@ -134,12 +171,16 @@
 	r.inFlight++
 	r.prefilling++
 	r.prefillTokens += prefillTokens
-	r.lastUse = time.Now()
+	if len(r.sends) == maxSends {
+		r.sends = slices.Delete(r.sends, 0, maxSends/2)
+	}
+	r.sends = append(r.sends, prefillSend{time.Now(), prefillTokens})
 	name := req.ModelName.String()
 	if req.ModelName.Adapter != "" && len(r.usedAdapters) < maxUsedAdapters {
 		r.usedAdapters[name] = struct{}{}
 	}
 	r.activeNames[name]++
+	began := time.Now()
 	prefilling, running := true, true
 	first = func() {
 		t.mu.Lock()
@@ -151,9 +192,17 @@
 		}
 	}
 	end = func() {
+		t.mu.Lock()
+		ran := running && !prefilling && req.ModelName.Model != ""
+		t.mu.Unlock()
 		first()
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if ran {
+			m := t.serviceLatencyModel(req.Service)
+			m.MeanRunTime += time.Duration(meanWeight * float64(time.Since(began)-m.MeanRunTime))
+			t.latencyModels[req.Service] = m
+		}
 		if running {
 			running = false
 			r.inFlight--
@@ -165,6 +214,18 @@
 	return first, end
 }
 
+// recentUse is how long an endpoint counts as recently used after a request: a gateway returns
+// to it within that time if it needs it at all.
+const recentUse = 3 * time.Second
+
+// recentlyUsed reports whether an endpoint has a request in flight or was sent one lately.
+func (t *tracker) recentlyUsed(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.endpoints[id]
+	return ok && (r.inFlight > 0 || len(r.sends) > 0 && now.Sub(r.sends[len(r.sends)-1].at) < recentUse)
+}
+
 // maxPrefilledPrefixes bounds the prompt prefixes that one takePrefilledPrefixes returns.
 const maxPrefilledPrefixes = 48
 
