proxy: routes without an objective keep the usual timeouts

A route that names no objective got the shortest waits for a connection and an adapter, 80 and 120 ms. TestTimeoutsFollowObjective failed before for it.

--- a/internal/transport/proxy/capacity_test.go
+++ b/internal/transport/proxy/capacity_test.go
@@ -43,3 +43,21 @@
 		t.Errorf("the planner was told %d times, want once", n)
 	}
 }
+
+// TestTimeoutsFollowObjective guards against waits that are right for long objectives only, and
+// against ones that are too short for a route without an objective.
+func TestTimeoutsFollowObjective(t *testing.T) {
+	ms := time.Millisecond
+	for _, tc := range []struct{ objective, adapter, dial time.Duration }{
+		{0, 300 * ms, 0},
+		{100 * ms, 120 * ms, 80 * ms},
+		{250 * ms, 125 * ms, 125 * ms},
+		{300 * ms, 150 * ms, 150 * ms},
+		{800 * ms, 300 * ms, 400 * ms},
+	} {
+		r := fleet.Route{Objective: tc.objective}
+		if a, d := adapterLoadTimeout(r), dialTimeout(r); a != tc.adapter || d != tc.dial {
+			t.Errorf("objective %v: adapter %v, dial %v, want %v and %v", tc.objective, a, d, tc.adapter, tc.dial)
+		}
+	}
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -277,11 +277,19 @@
 	minDialTimeout     = 80 * time.Millisecond
 )
 
+// adapterLoadTimeout bounds a request's wait for an adapter at one endpoint.
 func adapterLoadTimeout(r fleet.Route) time.Duration {
+	if r.Objective <= 0 {
+		return maxAdapterLoadTimeout
+	}
 	return min(maxAdapterLoadTimeout, max(minAdapterLoadTimeout, time.Duration(adapterLoadObjectiveShare*float64(r.Objective))))
 }
 
+// dialTimeout bounds the opening of a connection for a request; 0 leaves it to the pool.
 func dialTimeout(r fleet.Route) time.Duration {
+	if r.Objective <= 0 {
+		return 0
+	}
 	return max(minDialTimeout, time.Duration(dialObjectiveShare*float64(r.Objective)))
 }
 
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -122,7 +122,8 @@
 }
 
 // candidates returns the endpoints that serve the request's model, or its service if it names
-// none, with what the gateway knows of them; gateways is the number of gateways that share an endpoint's rate limit.
+// none, with what the gateway knows of them; gateways is the number of gateways that share an
+// endpoint's rate limit.
 func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, gateways int, connected func(e fleet.Endpoint) bool) []pick.Candidate {
 	now := time.Now()
 	t.mu.Lock()
