replica: prefer moves whose loads needn't wait for running requests

Callers saw a model that had become busy stay on one replica for some seconds after the decision: the load waited until the streams on the unloaded model had ended. Change: among moves worth making, and among the models to unload, those without running requests go first. A case of TestNextMove, which failed before.

--- a/internal/state/replica/move.go
+++ b/internal/state/replica/move.go
@@ -76,6 +76,10 @@
 	absentLoadWeight = 5
 	// absentWaitWeight weighs the requests that wait for a model without a replica.
 	absentWaitWeight = 0.5
+	// unloadWaitShare is the share of a move's gain that is lost if its load begins only once the
+	// requests on an unloaded model have ended, which takes as long as a load or longer. It
+	// decides between moves, not whether to make one.
+	unloadWaitShare = 0.3
 	// colocationWeight weighs the cost of sharing an endpoint with other busy models.
 	colocationWeight = 0.5
 )
@@ -123,8 +127,8 @@
 type victim struct {
 	model           string
 	weightsMB, loss float64
-	// load is the offered load of its replica.
-	load float64
+	// load is the offered load of its replica, running the number of requests that run there.
+	load, running float64
 }
 
 func newPlacement(spec *fleet.EngineSpec, endpoints []Endpoint, demand map[string]Demand) *placement {
@@ -163,10 +167,12 @@
 		r.freeMB -= weights
 		r.load += load
 		if p.replicas[m] >= 2 && p.serving[m] >= 2 {
-			r.victims = append(r.victims, victim{model: m, weightsMB: weights, loss: p.queueCost(m, -1) - p.queueCost(m, 0), load: load})
+			r.victims = append(r.victims, victim{model: m, weightsMB: weights, loss: p.queueCost(m, -1) - p.queueCost(m, 0), load: load, running: float64(p.demand[m].Running) / float64(p.replicas[m])})
 		}
 	}
-	slices.SortStableFunc(r.victims, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	slices.SortStableFunc(r.victims, func(a, b victim) int {
+		return cmp.Compare(a.loss+unloadWaitShare*minStoreLoadGain*min(1, a.running), b.loss+unloadWaitShare*minStoreLoadGain*min(1, b.running))
+	})
 	return r
 }
 
@@ -184,6 +190,15 @@
 	return r.victims, loss, free >= weightsMB
 }
 
+// unloadWait returns how certainly the load waits for requests on the models to unload, 0 to 1.
+func unloadWait(unload []victim) float64 {
+	most := 0.0
+	for _, v := range unload {
+		most = max(most, v.running)
+	}
+	return min(1, most)
+}
+
 func names(list []victim) []string {
 	var out []string
 	for _, v := range list {
@@ -227,8 +242,7 @@
 	return absentCost + absentLoadWeight*d.OfferedLoad + absentWaitWeight*float64(d.Waiting)
 }
 
-// bestExtraReplica returns the move that shortens the queues most, and its net gain beyond
-// the threshold. The cost of a model's queues is the square of its offered load divided by
+// bestExtraReplica returns the move that shortens the queues most, and its rank. The cost of a model's queues is the square of its offered load divided by
 // the number of its replicas: the load of one replica, weighted by the model's offered load.
 func (p *placement) bestExtraReplica(storeLoadAllowed bool) (Move, float64, bool) {
 	var best Move
@@ -253,7 +267,8 @@
 }
 
 // extraReplicaOn returns the move that loads one more replica of a model on the i-th endpoint,
-// and its net gain beyond the threshold, or false if the threshold is not exceeded.
+// and its rank, or false if its net gain does not exceed the threshold. The rank is the net gain
+// beyond the threshold, less what is lost while the load waits for running requests.
 func (p *placement) extraReplicaOn(model string, i int, gain float64, storeLoadAllowed bool) (Move, float64, bool) {
 	e := &p.endpoints[i]
 	if !e.Usable || e.Leaving || slices.Contains(e.Models, model) {
@@ -279,7 +294,7 @@
 	if net <= minGain {
 		return Move{}, 0, false
 	}
-	return Move{Endpoint: e.ID, Unload: names(unload), Load: model, FromStore: !local, Reason: "relieve"}, net - minGain, true
+	return Move{Endpoint: e.ID, Unload: names(unload), Load: model, FromStore: !local, Reason: "relieve"}, net - minGain - unloadWaitShare*gain*unloadWait(unload), true
 }
 
 // queueCost returns the cost of a model's queues if it had extra replicas more.
--- a/internal/state/replica/move_test.go
+++ b/internal/state/replica/move_test.go
@@ -51,6 +51,7 @@
 		{"a model without a replica is loaded", engineSpec(7), full, nil, true, "h0 -[m00] +m06 store=true reach"},
 		{"no load from the weight store is allowed", engineSpec(7), full, nil, false, ""},
 		{"a surplus replica is unloaded for a busy model", engineSpec(6), full, map[string]Demand{"m04": {OfferedLoad: 1.5}}, true, "h0 -[m00] +m04 store=true relieve"},
+		{"a replica without requests is unloaded rather than one whose requests the load would wait for", engineSpec(6), full, map[string]Demand{"m04": {OfferedLoad: 1.5}, "m00": {OfferedLoad: 0.005, Running: 8}, "m01": {OfferedLoad: 0.012}}, true, "h0 -[m01] +m04 store=true relieve"},
 		{"a host with the weights is preferred", engineSpec(6), localWeights, map[string]Demand{"m04": {OfferedLoad: 1.5}}, true, "h1 -[m00] +m04 store=false relieve"},
 		{"the last replica of a model stays", engineSpec(3), endpoints(1, "m00", "m01", "m02"), map[string]Demand{"m00": {OfferedLoad: 9}}, true, ""},
 		{"a busy model's replica is not unloaded for a model with little demand", engineSpec(6), busy, map[string]Demand{"m00": {OfferedLoad: 2}, "m05": {OfferedLoad: 0.02}}, true, ""},
