--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -58,7 +58,7 @@
 	maxStoreRetryDelay = 800 * time.Millisecond
 	// ownReadInterval is the longest time that a gateway relies on the planner's observations
 	// before it reads the store itself; the store keeps its history for 20 s.
-	ownReadInterval = 8 * time.Second
+	ownReadInterval = 15 * time.Second
 	// orderDelay is the time that an order takes to reach a keeper; the planner stops that
 	// long before its lease ends.
 	orderDelay = 500 * time.Millisecond
