--- a/internal/state/pick/stall_test.go
+++ b/internal/state/pick/stall_test.go
@@ -229,8 +229,8 @@
 		// considers neither.
 		maxShare float64
 	}{
-		{fleetSize{5, 6}, 24, 0.75},
-		{fleetSize{15, 24}, 4, 0.75},
+		{fleetSize{5, 6}, 24, 0.5},
+		{fleetSize{15, 24}, 4, 0.5},
 	} {
 		t.Run(fmt.Sprintf("%d gateways, %d engines", tc.size.gateways, tc.size.engines), func(t *testing.T) {
 			mean := func(pol policy) (first, gap float64) {
