--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -65,14 +65,42 @@
 	Header http.Header
 	// ContentLength is the body's length in bytes, or -1 if it is unknown.
 	ContentLength int64
-	// CloseDelimited is set when the end of the connection ends the body.
-	CloseDelimited bool
+	// Framing is what ends the body.
+	Framing Framing
 
 	resp     *http.Response
 	release  func(complete bool)
 	complete bool
 }
 
+// Framing is what ends a response's body.
+type Framing uint8
+
+// The framings of a body.
+const (
+	FramingLength Framing = iota
+	FramingChunked
+	// FramingConnection means that the end of the connection ends the body, so that a body that
+	// was cut off can look complete.
+	FramingConnection
+)
+
+// String returns the framing's name in logs.
+func (f Framing) String() string {
+	return [...]string{"length", "chunked", "connection"}[f]
+}
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramingLength
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	default:
+		return FramingConnection
+	}
+}
+
 // Trailer returns the trailer fields once the body has been read whole.
 func (r *Response) Trailer() http.Header { return r.resp.Trailer }
 
@@ -149,7 +177,7 @@
 	}
 	c.applyKeepAlive(resp.Header)
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp}
-	out.CloseDelimited = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	out.Framing = framingOf(resp)
 	out.release = func(complete bool) {
 		canceled := !stop()
 		if complete && !canceled && !resp.Close && written.Load() && c.br.Buffered() == 0 {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -358,6 +358,7 @@
 		return h.requestFailed(c, e, err)
 	}
 	defer resp.Close()
+	c.framing = resp.Framing.String()
 	h.recordRateLimit(e, resp)
 	if resp.Header.Get(h.cfg.Headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest {
 		if id := resp.Header.Get(h.cfg.Headers.InstanceID); id != "" && id != e.ID {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -154,6 +154,10 @@
 	// longestGap is the longest time between two reads that completed events of the stream.
 	longestGap  time.Duration
 	lastEventAt time.Time
+	// framing is that of the newest response, and partialEventBytes what its stream held after
+	// the last complete event when it ended.
+	framing           string
+	partialEventBytes int
 }
 
 // lateReason returns which objective of its route an answered request missed, or "".
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -62,6 +62,7 @@
 		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.PrefillTokens, "backlog": c.choice.BacklogTokens, "rate_wait_ms": c.choice.RateWait.Milliseconds(), "fetch": c.choice.LoadAdapter,
 		"report_age_ms": c.reportAge.Milliseconds(), "config": c.configVersion, "left_ms": time.Until(c.deadline).Milliseconds(),
 		"tries": c.attempts, "runs": c.possibleRuns, "status": c.status, "outcome": c.outcome,
+		"framing": c.framing, "partial_event_bytes": c.partialEventBytes,
 		"first_ms": c.timeToFirstEvent.Milliseconds(), "took_ms": time.Since(c.began).Milliseconds(),
 	}).Info("request ended")
 }
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -28,6 +28,7 @@
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		complete := completeEventsLen(pending)
+		c.partialEventBytes = len(pending) - complete
 		if errors.Is(err, io.EOF) {
 			complete = len(pending)
 		}
