proxy, events: a stream that ends inside an event was broken off

Cause: at the end of the response the gateway took what it held back, the part of an event, for the last event. Where neither a length nor chunks end a body, an endpoint that dies ends it just as a complete one. The class is the end of a connection taken for the end of a message.

Why it works: a stream is complete only between two events, by whatever line ends, and one without a length or chunks only after an event. Otherwise the attempt has failed: a stream that may be resumed goes on elsewhere, any other breaks its caller's connection. A body of another type whose length or chunks are whole stays complete.

--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -92,7 +92,7 @@
 
 func framingOf(resp *http.Response) Framing {
 	switch {
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Request.Method == http.MethodHead:
 		return FramingLength
 	case len(resp.TransferEncoding) > 0:
 		return FramingChunked
--- a/internal/transport/proxy/cutstream_test.go
+++ b/internal/transport/proxy/cutstream_test.go
@@ -69,3 +69,11 @@
 		}
 	}
 }
+
+// TestHeadOfStream guards against the response to a HEAD request being taken for a stream without events.
+func TestHeadOfStream(t *testing.T) {
+	g := startGateway(t, fleet.Stream, false, startEndpoint(t, unframedStream("")))
+	if a, err := g.do(t.Context(), t, "HEAD", "/a/x", nil, ""); err != nil || a.status != http.StatusOK {
+		t.Errorf("status %d, error %v, want 200", a.status, err)
+	}
+}
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -1,12 +1,12 @@
 package proxy
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"chervilhead/internal/protocol/events"
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
 )
@@ -22,15 +22,29 @@
 // never joins parts of two runs in one event.
 func (h *Handler) relayStream(c *call, e fleet.Endpoint, resp *http1.Response, onFirst func()) attemptResult {
 	flush := http.NewResponseController(c.w)
+	unframed := resp.Framing == http1.FramingConnection
+	// A body of another type is complete if its length or chunks say so.
+	endsBetweenEvents := unframed || events.IsStream(resp.Header)
 	buf := make([]byte, streamBufferBytes)
 	var pending []byte
+	anyEvent := false
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
-		complete := completeEventsLen(pending)
+		parsed := events.Parse(pending)
+		anyEvent = anyEvent || parsed.Any
+		complete := parsed.Complete
 		c.partialEventBytes = len(pending) - complete
 		if errors.Is(err, io.EOF) {
-			complete = len(pending)
+			switch {
+			case parsed.Partial && endsBetweenEvents:
+				err = errCutInsideEvent
+			case unframed && !anyEvent:
+				// An endpoint that dies before its first event ends the connection just so.
+				err = errNoEvent
+			default:
+				complete = len(pending)
+			}
 		}
 		if complete > 0 {
 			onFirst()
@@ -40,8 +54,8 @@
 			}
 			c.lastEventAt = now
 			h.writeStreamHeader(c, resp)
-			if id := lastEventID(pending[:complete]); id != "" {
-				c.lastEventID = id
+			if parsed.LastID != "" {
+				c.lastEventID = parsed.LastID
 			}
 			_, werr := c.w.Write(pending[:complete])
 			if werr == nil {
@@ -67,12 +81,16 @@
 			if c.ctx.Err() == nil {
 				h.tracker.recordResult(e, false)
 			}
-			return attemptFailed{mayHaveRun: true, connectionBroken: c.ctx.Err() == nil, reason: "stream_broken"}
+			return attemptFailed{mayHaveRun: true, connectionBroken: c.ctx.Err() == nil, reason: "stream_broken: " + err.Error()}
 		}
 	}
 }
 
-var errEventTooLong = errors.New("the event exceeds the gateway's size limit")
+var (
+	errEventTooLong   = errors.New("the event exceeds the gateway's size limit")
+	errCutInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvent        = errors.New("the connection ended before the first event")
+)
 
 // writeStreamHeader sends the response header once; when another endpoint resumes the stream,
 // the header of the first one stands.
@@ -87,25 +105,3 @@
 	c.w.WriteHeader(resp.Status)
 	c.responseBegun, c.status = true, resp.Status
 }
-
-var eventSeparator = []byte("\n\n")
-
-// completeEventsLen returns the length in bytes of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, eventSeparator)
-	if i < 0 {
-		return 0
-	}
-	return i + len(eventSeparator)
-}
-
-// lastEventID returns the id of the last event in b that has one.
-func lastEventID(b []byte) string {
-	var id string
-	for line := range bytes.SplitSeq(b, []byte("\n")) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
-		}
-	}
-	return id
-}
