--- a/internal/transport/proxy/cutstream_test.go
+++ b/internal/transport/proxy/cutstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -77,3 +78,28 @@
 		t.Errorf("status %d, error %v, want 200", a.status, err)
 	}
 }
+
+// TestBrokenStreamToOldCaller guards against a broken stream that looks complete to an HTTP/1.0 caller, to whom the end of the connection ends the body.
+func TestBrokenStreamToOldCaller(t *testing.T) {
+	for _, long := range []bool{false, true} {
+		kind, serve := fleet.Stream, serveFunc(breakStream)
+		if long {
+			kind = fleet.AtMostOnce
+			serve = func(r *http.Request, _ string, c net.Conn) {
+				startStream(c, r)
+				writeChunk(c, strings.Repeat("x", 2*maxBufferedBytes))
+				_ = c.Close()
+			}
+		}
+		g := startGateway(t, kind, false, startEndpoint(t, serve))
+		c, err := net.Dial("tcp", g.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /a/x HTTP/1.0\r\nHost: test.example\r\nTest-Request: id-1\r\nTest-Model: m\r\nContent-Length: 1\r\n\r\np")
+		if got, err := io.ReadAll(c); err == nil {
+			t.Errorf("long %v: %d bytes ended like a complete response", long, len(got))
+		}
+	}
+}
