agent, events: a service's stream that ends inside an event was broken off

What callers saw: nothing yet.

FuzzParse compares the new Tail, which keeps no bytes, with Parse.

Why it works: the answer to a service's event stream is complete only between two events, and without length or chunks only after one.

--- a/internal/protocol/events/events.go
+++ b/internal/protocol/events/events.go
@@ -72,3 +72,37 @@
 	t, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && t == "text/event-stream"
 }
+
+// Tail tells whether a stream that is read in pieces ends between two events. Its zero value
+// stands at the start of a stream.
+type Tail struct {
+	any, inEvent, inLine, afterCR bool
+}
+
+// WithPiece returns the tail after the next piece of the stream.
+func (t Tail) WithPiece(b []byte) Tail {
+	for _, c := range b {
+		if c == '\n' && t.afterCR {
+			// The rest of a line end that has been counted.
+			t.afterCR = false
+			continue
+		}
+		t.afterCR = c == '\r'
+		switch {
+		case c != '\n' && c != '\r':
+			t.inEvent = t.inEvent || !t.inLine && c != ':'
+			t.inLine = true
+		case t.inLine:
+			t.inLine = false
+		default:
+			t.any, t.inEvent = t.any || t.inEvent, false
+		}
+	}
+	return t
+}
+
+// Partial reports whether the stream has ended inside an event or a line.
+func (t Tail) Partial() bool { return t.inEvent || t.inLine }
+
+// Any reports whether the stream has had a complete event.
+func (t Tail) Any() bool { return t.any }
--- a/internal/protocol/events/events_test.go
+++ b/internal/protocol/events/events_test.go
@@ -41,9 +41,11 @@
 		whole := Parse(b)
 		var pending []byte
 		complete, partial := 0, false
+		var tail Tail
 		for rest := b; len(rest) > 0; {
 			n := min(piece, len(rest))
 			pending = append(pending, rest[:n]...)
+			tail = tail.WithPiece(rest[:n])
 			rest = rest[n:]
 			p := Parse(pending)
 			if p.Complete > len(pending) {
@@ -52,6 +54,9 @@
 			complete += p.Complete
 			pending, partial = pending[p.Complete:], p.Partial
 		}
+		if tail.Partial() != whole.Partial || tail.Any() != whole.Any {
+			t.Fatalf("%q: tail %+v, parsed %+v", b, tail, whole)
+		}
 		if complete != whole.Complete || partial != whole.Partial {
 			t.Fatalf("%q in pieces of %d: %d complete bytes, partial %v; at once %d, %v", b, piece, complete, partial, whole.Complete, whole.Partial)
 		}
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -90,11 +90,12 @@
 	return [...]string{"length", "chunked", "connection"}[f]
 }
 
-func framingOf(resp *http.Response) Framing {
+// FramingOf returns what ends the body of a response.
+func FramingOf(resp *http.Response) Framing {
 	switch {
 	case resp.ContentLength >= 0 || resp.Request.Method == http.MethodHead:
 		return FramingLength
-	case len(resp.TransferEncoding) > 0:
+	case len(resp.TransferEncoding) > 0 || resp.Uncompressed:
 		return FramingChunked
 	default:
 		return FramingConnection
@@ -177,7 +178,7 @@
 	}
 	c.applyKeepAlive(resp.Header)
 	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp}
-	out.Framing = framingOf(resp)
+	out.Framing = FramingOf(resp)
 	out.release = func(complete bool) {
 		canceled := !stop()
 		if complete && !canceled && !resp.Close && written.Load() && c.br.Buffered() == 0 {
--- a/internal/transport/agent/backend.go
+++ b/internal/transport/agent/backend.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"chervilhead/internal/protocol/engine"
+	"chervilhead/internal/protocol/events"
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/protocol/wire"
 	"chervilhead/internal/state/fault"
 )
@@ -145,7 +147,7 @@
 		return serviceError(err)
 	}
 	sink(head)
-	return copyBody(resp.Body, sink)
+	return copyBody(resp, sink)
 }
 
 func serviceError(err error) wire.End {
@@ -157,23 +159,32 @@
 		fmt.Sprintf("the call to the service failed: %v", err), "check whether the call took effect before you repeat it").WithOutcome(fault.OutcomeUnknown)}
 }
 
-func copyBody(body io.Reader, sink func(json.RawMessage)) wire.End {
+func copyBody(resp *http.Response, sink func(json.RawMessage)) wire.End {
 	buf := make([]byte, serviceReadBytes)
+	var tail events.Tail
+	unframed := http1.FramingOf(resp) == http1.FramingConnection
 	for {
-		n, err := body.Read(buf)
+		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			item, merr := json.Marshal(buf[:n])
 			if merr != nil {
 				return serviceError(merr)
 			}
 			sink(item)
+			tail = tail.WithPiece(buf[:n])
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && events.IsStream(resp.Header) && (tail.Partial() || unframed && !tail.Any()):
+			return truncatedService()
+		case errors.Is(err, io.EOF):
 			return wire.End{Outcome: fault.OutcomeComplete}
-		}
-		if err != nil {
-			return wire.End{Outcome: fault.OutcomeFailed, Error: fault.New(fault.Upstream, fault.CodeTruncated,
-				"the service's answer was truncated", "send the request again if that is safe").WithOutcome(fault.OutcomeFailed)}
+		case err != nil:
+			return truncatedService()
 		}
 	}
 }
+
+func truncatedService() wire.End {
+	return wire.End{Outcome: fault.OutcomeFailed, Error: fault.New(fault.Upstream, fault.CodeTruncated,
+		"the service's answer was truncated", "send the request again if that is safe").WithOutcome(fault.OutcomeFailed)}
+}
