httpd, entry: reset the connection of an HTTP/1.0 caller of a service that broke off

What callers saw: an HTTP/1.0 caller of a service whose long answer broke off got one that looks complete.

Cause: as at the gateway, the entry ended the partial answer with a plain close. Both now use httpd.AbortResponse.

--- a/internal/transport/entry/claim.go
+++ b/internal/transport/entry/claim.go
@@ -166,6 +166,9 @@
 	return nil
 }
 
+// Unwrap returns the caller's response writer to http.ResponseController.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.w }
+
 // record returns the claim record of the answer. A truncated answer is recorded as an
 // error, so that its replay is not taken for a complete one.
 func (r *recorder) record() claim.Record {
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -10,6 +10,7 @@
 	"chervilhead/internal/protocol/openai"
 	"chervilhead/internal/protocol/wire"
 	"chervilhead/internal/state/fault"
+	"chervilhead/internal/transport/httpd"
 )
 
 // serveService forwards an HTTP request to a plain service and relays its answer.
@@ -33,7 +34,7 @@
 	case res.outcome == fault.OutcomeComplete:
 		out.finish()
 	default:
-		out.fail(res)
+		out.fail(r, res)
 	}
 }
 
@@ -151,10 +152,10 @@
 
 // fail reports an incomplete answer: as an error if nothing was written, otherwise by
 // closing the connection.
-func (s *serviceWriter) fail(res result) {
+func (s *serviceWriter) fail(r *http.Request, res result) {
 	if !s.headWritten {
 		openai.WriteError(s.w, errIncomplete(res))
 		return
 	}
-	panic(http.ErrAbortHandler)
+	httpd.AbortResponse(s.w, r)
 }
--- a/internal/transport/httpd/httpd.go
+++ b/internal/transport/httpd/httpd.go
@@ -47,6 +47,26 @@
 // Close closes the listener and every connection at once.
 func (s *Server) Close() { _ = s.srv.Close() }
 
+// AbortResponse ends a response that has begun, so that what was sent can't pass for a complete
+// one. It doesn't return.
+func AbortResponse(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// A plain close ends a body without chunks just as its end does; a reset doesn't.
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			resetConn(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func resetConn(conn net.Conn) {
+	if tc, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection is gone; Close handles that too.
+		_ = tc.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // RegisterHealthAndMetrics adds /healthz, /readyz and /metrics to a router; /readyz fails
 // with status 503 unless ready returns true.
 func RegisterHealthAndMetrics(r *mux.Router, ready func() bool, reg *prometheus.Registry) {
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"io"
 	"maps"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/transport/httpd"
 )
 
 // maxBufferedBytes is the size up to which a plain response is buffered before it is
@@ -108,25 +108,7 @@
 func (h *Handler) abort(c *call, outcome string) {
 	c.outcome = outcome
 	h.recordOutcome(c)
-	if !c.in.ProtoAtLeast(1, 1) {
-		h.resetConnection(c)
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// resetConnection closes the client's connection with a reset. To an HTTP/1.0 client, which
-// gets neither chunks nor perhaps a length, a plain close would end the response.
-func (h *Handler) resetConnection(c *call) {
-	conn, _, err := http.NewResponseController(c.w).Hijack()
-	if err != nil {
-		h.log.WithError(err).WithField("request", c.id).Warn("the connection could not be reset; a partial response may look complete to its HTTP/1.0 client")
-		return
-	}
-	if tc, ok := conn.(*net.TCPConn); ok {
-		// An error means that the connection is gone; Close handles that too.
-		_ = tc.SetLinger(0)
-	}
-	_ = conn.Close()
+	httpd.AbortResponse(c.w, c.in)
 }
 
 // giveUp ends a request that no endpoint has completed.
