--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -93,7 +93,7 @@
 // FramingOf returns what ends the body of a response.
 func FramingOf(resp *http.Response) Framing {
 	switch {
-	case resp.ContentLength >= 0 || resp.Request.Method == http.MethodHead:
+	case resp.ContentLength >= 0 || resp.Request != nil && resp.Request.Method == http.MethodHead:
 		return FramingLength
 	case len(resp.TransferEncoding) > 0 || resp.Uncompressed:
 		return FramingChunked
--- a/internal/protocol/plat/client.go
+++ b/internal/protocol/plat/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fault"
 )
 
@@ -119,6 +121,10 @@
 		_ = resp.Body.Close()
 		return nil, fault.Outage("weight", fmt.Errorf("status %d", resp.StatusCode))
 	}
+	if http1.FramingOf(resp) == http1.FramingConnection {
+		_ = resp.Body.Close()
+		return nil, fault.Outage("weight", errUnframed)
+	}
 	return resp.Body, nil
 }
 
@@ -168,9 +174,16 @@
 	case resp.StatusCode/100 != 2:
 		return fault.Outage(service, fmt.Errorf("status %d", resp.StatusCode))
 	}
+	if _, raw := out.(*[]byte); raw && http1.FramingOf(resp) == http1.FramingConnection {
+		return fault.Outage(service, errUnframed)
+	}
 	return decode(service, data, out)
 }
 
+// errUnframed is the error of raw bytes that may have been cut off. Replies in JSON need no
+// length, because a part of one does not decode.
+var errUnframed = errors.New("the reply has neither a length nor chunks; it may be incomplete")
+
 func decode(service string, data []byte, out any) error {
 	switch v := out.(type) {
 	case nil:
