testbed: streams without length or chunks, cut inside an event by a crash

The soak's and the integration tests' engines now answer one stream of four without a length or chunks. One that is broken off, or whose endpoint is killed, ends inside an event with a plain close, as a process that dies does.

--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -388,20 +388,20 @@
 	w.Header().Set(e.headers.id, id)
 	w.Header().Set(e.headers.signature, sign(id, nil))
 	w.Header().Set("Content-Type", "text/event-stream")
-	flush := http.NewResponseController(w)
+	out := newStreamWriter(w, id)
+	defer out.end()
 	for n := from + 1; n <= e.cfg.StreamEvents; n++ {
 		stub.Sleep(r.Context(), e.cfg.EventInterval)
-		if r.Context().Err() != nil || f == EndpointFaultTruncate && n == from+e.cfg.StreamEvents/2 {
-			panic(http.ErrAbortHandler)
-		}
 		data := event(id, n)
 		if n == e.cfg.StreamEvents {
 			data = "end"
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data); err != nil {
+		frame := fmt.Sprintf("id: %d\ndata: %s\n\n", n, data)
+		if r.Context().Err() != nil || f == EndpointFaultTruncate && n == from+e.cfg.StreamEvents/2 {
+			out.breakOff(frame)
 			return
 		}
-		if err := flush.Flush(); err != nil {
+		if !out.write(frame) {
 			return
 		}
 	}
