--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -15,6 +15,7 @@
 	timeToFirstEvent *prometheus.HistogramVec
 	rateLimits       *prometheus.CounterVec
 	late             *prometheus.CounterVec
+	crashRecords     *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -33,8 +34,11 @@
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilhead_gateway_late_total", Help: "Answered requests that missed a latency objective of their route, by route kind and objective.",
 		}, []string{"kind", "objective"}),
+		crashRecords: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilhead_gateway_crash_records_total", Help: "News of requests that may crash endpoints, by source: this gateway's own attempts or records received from others.",
+		}, []string{"source"}),
 	}
-	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.late)
+	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.late, m.crashRecords)
 	return m
 }
 
--- a/internal/transport/proxy/poison.go
+++ b/internal/transport/proxy/poison.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"chervilhead/internal/state/poison"
 )
@@ -61,13 +62,17 @@
 	return n
 }
 
-// add merges a crash record of this gateway or another one.
-func (t *poisonTracker) add(rec poison.CrashRecord, now time.Time) {
+// add merges a crash record of this gateway or another one. It returns the merged record and
+// whether that is news.
+func (t *poisonTracker) add(rec poison.CrashRecord, now time.Time) (poison.CrashRecord, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.registry.Add(rec, now) {
+	news := t.registry.Add(rec, now)
+	if news {
 		t.size++
 	}
+	merged, _ := t.registry.Get(rec.Fingerprint, now)
+	return merged, news
 }
 
 // recordCrash records and broadcasts that a connection broke while an endpoint had the request.
@@ -76,7 +81,12 @@
 		Fingerprint: c.fingerprint(), Model: c.req.ModelName.Model, ExpiresAt: now.Add(crashRecordTTL),
 		Crashes: []poison.Crash{{ID: c.id + "/" + strconv.Itoa(c.attempts), Level: poison.LevelShared}},
 	}
-	h.poisonTracker.add(rec, now)
+	merged, _ := h.poisonTracker.add(rec, now)
+	h.metrics.crashRecords.WithLabelValues("own").Inc()
+	h.log.WithFields(logrus.Fields{
+		"request": c.id, "endpoint": c.choice.ID, "fingerprint": rec.Fingerprint, "crashes": unclearedCrashes(merged),
+		"prompt": c.in.Header.Get(h.cfg.Headers.PromptPrefix), "events": c.timeToFirstEvent > 0,
+	}).Info("crash recorded")
 	h.control.BroadcastCrashRecord(rec)
 }
 
@@ -101,5 +111,8 @@
 func (h *Handler) MergeCrashRecord(rec poison.CrashRecord) {
 	now := time.Now()
 	rec.ExpiresAt = now.Add(crashRecordTTL)
-	h.poisonTracker.add(rec, now)
+	if merged, news := h.poisonTracker.add(rec, now); news {
+		h.metrics.crashRecords.WithLabelValues("received").Inc()
+		h.log.WithFields(logrus.Fields{"fingerprint": rec.Fingerprint, "crashes": unclearedCrashes(merged)}).Info("crash record received")
+	}
 }
