--- a/internal/standin/testbed/checker.go
+++ b/internal/standin/testbed/checker.go
@@ -20,6 +20,8 @@
 	arrivals []Arrival
 	// faulted holds the requests with an injected endpoint fault.
 	faulted map[string]bool
+	// crashes are the times at which endpoints crashed under a deadly prompt part.
+	crashes []time.Time
 	// rateLimits holds the limits that endpoints named, by their id.
 	rateLimits map[string][]rateLimit
 }
@@ -34,6 +36,8 @@
 	// Gateway is the address to which the client sent the request, Endpoint the id of the
 	// endpoint.
 	Gateway, Endpoint string
+	// ID is that of the request.
+	ID string
 }
 
 // sentRequest is one request of a client as it was sent, and what became of it.
@@ -69,7 +73,7 @@
 func (c *Checker) addArrival(id, endpoint string, drainingFor time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	a := Arrival{At: time.Now(), DrainingFor: drainingFor, Endpoint: endpoint}
+	a := Arrival{At: time.Now(), DrainingFor: drainingFor, Endpoint: endpoint, ID: id}
 	if q, ok := c.requests[id]; ok {
 		a.Repeated, a.Gateway = q.arrived, q.gateway
 		q.arrived = true
--- a/internal/standin/testbed/client.go
+++ b/internal/standin/testbed/client.go
@@ -24,7 +24,6 @@
 type Client struct {
 	checker *Checker
 	headers headerNames
-	prompt  string
 	tokens  string
 
 	mu    sync.Mutex
@@ -39,7 +38,7 @@
 // NewClient returns a client that reports to a checker and has no connections yet.
 func NewClient(checker *Checker) *Client {
 	h := platform.Headers()
-	return &Client{checker: checker, headers: newHeaderNames(), prompt: h.PromptPrefix, tokens: h.TokenCounts, conns: map[string]*clientConn{}}
+	return &Client{checker: checker, headers: newHeaderNames(), tokens: h.TokenCounts, conns: map[string]*clientConn{}}
 }
 
 // Request describes one request of a client.
@@ -47,8 +46,10 @@
 	Gateway string
 	Route   stub.Route
 	// Path is appended to the route's prefix.
-	Path     string
-	Model    string
+	Path  string
+	Model string
+	// Prompt lists the parts of the prompt, or is empty for one of the client's own choice.
+	Prompt   string
 	Body     string
 	Deadline time.Duration
 	// CancelAfter is when the client gives up and closes its connection; 0 means never.
@@ -123,7 +124,11 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", target, req.Route.Host, c.headers.id, res.ID, c.headers.deadline, req.Deadline.Milliseconds())
 	if req.Model != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n%s: 400,40\r\n%s: aa:300,%x:100\r\n", c.headers.model, req.Model, c.tokens, c.prompt, requestNumber.Load())
+		prompt := req.Prompt
+		if prompt == "" {
+			prompt = fmt.Sprintf("aa:300,%x:100", requestNumber.Load())
+		}
+		fmt.Fprintf(&b, "%s: %s\r\n%s: 400,40\r\n%s: %s\r\n", c.headers.model, req.Model, c.tokens, c.headers.prompt, prompt)
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(req.Body), req.Body)
 	sent := time.Now()
--- /dev/null
+++ b/internal/standin/testbed/deadly.go
@@ -0,0 +1,83 @@
+package testbed
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// restartTime is how long an endpoint that crashed is away.
+const restartTime = time.Second
+
+// SetDeadlyPart makes each engine crash when it begins to write an answer on a prompt with a
+// part, unless that is the prompt's last one, and start again; an empty part ends that.
+func (env *Environment) SetDeadlyPart(part string) {
+	for _, e := range env.EngineEndpoints {
+		e.mu.Lock()
+		e.deadlyPart = part
+		e.mu.Unlock()
+	}
+}
+
+// hasDeadlyPart reports whether a prompt holds a part other than as its last one.
+func hasDeadlyPart(prompt, part string) bool {
+	parts := strings.Split(prompt, ",")
+	return part != "" && slices.ContainsFunc(parts[:len(parts)-1], func(p string) bool {
+		id, _, _ := strings.Cut(p, ":")
+		return id == part
+	})
+}
+
+// crashIfDeadly ends the incarnation, and the request, if the request's prompt is deadly.
+func (e *Endpoint) crashIfDeadly(w http.ResponseWriter, r *http.Request, id, self string) {
+	e.mu.Lock()
+	deadly := hasDeadlyPart(r.Header.Get(e.headers.prompt), e.deadlyPart)
+	e.mu.Unlock()
+	if !deadly {
+		return
+	}
+	w.Header().Set(e.headers.id, id)
+	w.Header().Set(e.headers.signature, sign(id, nil))
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+	e.checker.addCrash()
+	go e.crash(self)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// crash ends an incarnation and starts the next one.
+func (e *Endpoint) crash(self string) {
+	if e.ID() != self {
+		return
+	}
+	e.Kill()
+	time.Sleep(restartTime)
+	// An error means that the environment was closed meanwhile.
+	_ = e.Start()
+}
+
+func (c *Checker) addCrash() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, time.Now())
+}
+
+// Crashes returns when endpoints began to crash under a deadly prompt part.
+func (c *Checker) Crashes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.crashes)
+}
+
+// Arrived reports whether a request reached an endpoint, and when first.
+func (c *Checker) Arrived(id string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.IndexFunc(c.arrivals, func(a Arrival) bool { return a.ID == id })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	return c.arrivals[i].At, true
+}
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -71,22 +71,24 @@
 	drainingSince time.Time
 	// rateLimit is the limit of requests a second that answers name, or empty.
 	rateLimit string
-	srv       *http.Server
-	cancel    context.CancelFunc
-	waiting   int
-	running   int
-	model     *modelState
-	wg        sync.WaitGroup
+	// deadlyPart is the prompt part that crashes the endpoint, or empty.
+	deadlyPart string
+	srv        *http.Server
+	cancel     context.CancelFunc
+	waiting    int
+	running    int
+	model      *modelState
+	wg         sync.WaitGroup
 }
 
 // headerNames are the names of the platform's header fields.
 type headerNames struct {
-	id, model, instance, expectInstance, notRun, signature, deadline, lastEvent, rateLimit string
+	id, model, instance, expectInstance, notRun, signature, deadline, lastEvent, rateLimit, prompt string
 }
 
 func newHeaderNames() headerNames {
 	h := platform.Headers()
-	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID, h.RateLimit}
+	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID, h.RateLimit, h.PromptPrefix}
 }
 
 // NewEndpoint returns an endpoint that hasn't been started.
@@ -274,6 +276,7 @@
 		e.checker.markFaulted(id)
 	}
 	if model != nil {
+		e.crashIfDeadly(w, r, id, self)
 		e.stream(w, r, id, f)
 		return
 	}
