poison, proxy, keeper: block prompt parts that crash endpoints

Cause: a request was known by its whole content. The class is an identity that covers more than what causes the fault.

Change: a request that was lost with an endpoint before its first event makes the parts of its prompt suspect, all but the last. The first event of any request with a part clears it. A part that was never answered is blocked after crashes of three endpoint incarnations; one that was, after four over a second or more and none answered for two seconds, so that endpoints which fail together don't block what is in common use. Parts that came with a blocked one aren't blocked for its crashes. Records reach all gateways through keepers, which join what several gateways send and keep it for gateways that start later. A request is checked again before each send.

--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/state/sets"
 )
 
 // MaxBytes bounds a datagram, so that it fits one packet of a local network with room to spare.
@@ -98,13 +100,38 @@
 	ReservedMB float64
 }
 
-// CrashRecord is what is known of a request, by its fingerprint, that may crash endpoints.
+// CrashRecord is what is known of a request, or of a prompt part, by its fingerprint, that may
+// crash endpoints.
 type CrashRecord struct {
 	Fingerprint string
 	Model       string
-	// CrashedAttempts are the ids of attempts that ended with a broken connection,
-	// ClearedAttempts those after which an equal request completed.
+	// CrashedAttempts are the ids of crashes: attempts that ended with a broken connection, or
+	// for a part the endpoint incarnations that ended. ClearedAttempts are those after which an
+	// equal request, or one with the part, was answered.
 	CrashedAttempts, ClearedAttempts []string
+	// Remaining is the time until the record expires; 0 leaves it to the receiver.
+	Remaining time.Duration
+}
+
+// maxMergedCrashes bounds the crashes of each kind in a merged record.
+const maxMergedCrashes = 8
+
+// Merge returns the union of two records of one fingerprint; a crash that one of them has
+// cleared is cleared.
+func (r CrashRecord) Merge(o CrashRecord) CrashRecord {
+	out := CrashRecord{Fingerprint: r.Fingerprint, Model: r.Model, Remaining: max(r.Remaining, o.Remaining)}
+	cleared := sets.Of(slices.Concat(r.ClearedAttempts, o.ClearedAttempts)...)
+	crashed := sets.Of(slices.Concat(r.CrashedAttempts, o.CrashedAttempts)...)
+	out.ClearedAttempts = sets.Sorted(cleared)
+	out.CrashedAttempts = slices.DeleteFunc(sets.Sorted(crashed), cleared.Has)
+	out.CrashedAttempts = out.CrashedAttempts[:min(len(out.CrashedAttempts), maxMergedCrashes)]
+	out.ClearedAttempts = out.ClearedAttempts[:min(len(out.ClearedAttempts), maxMergedCrashes)]
+	return out
+}
+
+// Equal reports whether two records hold the same crashes.
+func (r CrashRecord) Equal(o CrashRecord) bool {
+	return r.Fingerprint == o.Fingerprint && slices.Equal(r.CrashedAttempts, o.CrashedAttempts) && slices.Equal(r.ClearedAttempts, o.ClearedAttempts)
 }
 
 // Model is a resident model with its adapters.
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -484,7 +484,7 @@
 		p.wakeWaiting()
 	}
 	for _, rec := range m.CrashRecords {
-		p.hooks.MergeCrashRecord(fromWire(rec))
+		p.hooks.MergeCrashRecord(fromWire(rec, time.Now()))
 	}
 	if len(m.CachedPrefixes) > 0 {
 		if e, ok := p.view().Endpoints[m.Endpoint]; ok && e.Address == m.Address {
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -365,7 +365,7 @@
 		}
 		return false
 	})
-	c.plane.BroadcastCrashRecord(poison.CrashRecord{Fingerprint: "f", Model: "a", Crashes: []poison.Crash{{ID: "r1", Level: poison.LevelShared}, {ID: "r2", Level: poison.LevelCleared}}})
+	c.plane.BroadcastCrashRecords([]poison.CrashRecord{{Fingerprint: "f", Model: "a", Crashes: []poison.Crash{{ID: "r1", Level: poison.LevelShared}, {ID: "r2", Level: poison.LevelCleared}}}})
 	select {
 	case m := <-c.crashRecords:
 		if m.Fingerprint != "f" || len(m.Crashes) != 2 || m.Crashes[0].Level != poison.LevelShared || m.Crashes[1].Level != poison.LevelCleared {
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -6,7 +6,6 @@
 	"net"
 	"reflect"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -55,10 +54,6 @@
 	cachedPrefixTTL = 1300 * time.Millisecond
 	// maxCachedPrefixes bounds the cached prefixes of one report.
 	maxCachedPrefixes = 128
-	// crashRecordTTL is how long gateways are told of a crash record.
-	crashRecordTTL = 2 * time.Second
-	// maxCrashRecords bounds the crash records that are kept, and so those of one report.
-	maxCrashRecords = 16
 	// storeLoadTTL is how long gateways are told of a load from the weight store, longer than
 	// the window of the platform's rate limit.
 	storeLoadTTL = 12 * time.Second
@@ -68,12 +63,6 @@
 	configRetryInterval = 400 * time.Millisecond
 )
 
-// receivedCrashRecord is a crash record with the time at which a gateway last sent it.
-type receivedCrashRecord struct {
-	record     dgram.CrashRecord
-	receivedAt time.Time
-}
-
 type subscriber struct {
 	gateway  string
 	addr     net.Addr
@@ -116,8 +105,7 @@
 	// cachedPrefixes are the hashes of prompt prefixes that the engine prefilled, as gateways
 	// report.
 	cachedPrefixes map[uint64]time.Time
-	// crashRecords are those that gateways sent lately, by fingerprint.
-	crashRecords   map[string]receivedCrashRecord
+	crashRecords   crashRecords
 	acceptedOrders []acceptedOrder
 	restoreModels  []string
 	// engineStartedAt is when this keeper first saw the engine's current incarnation.
@@ -141,7 +129,7 @@
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), configWake: make(chan struct{}, 1), incarnation: time.Now().UnixNano(),
 		subscribers:    map[string]*subscriber{},
-		wantedAdapters: map[fleet.ModelName]time.Time{}, lastUsed: map[fleet.ModelName]time.Time{}, refusedAdapters: map[fleet.ModelName]time.Time{}, cachedPrefixes: map[uint64]time.Time{}, crashRecords: map[string]receivedCrashRecord{},
+		wantedAdapters: map[fleet.ModelName]time.Time{}, lastUsed: map[fleet.ModelName]time.Time{}, refusedAdapters: map[fleet.ModelName]time.Time{}, cachedPrefixes: map[uint64]time.Time{}, crashRecords: crashRecords{},
 	}, nil
 }
 
@@ -275,14 +263,7 @@
 		}
 	}
 	slices.Sort(st.CachedPrefixes)
-	for f, m := range k.crashRecords {
-		if now.Sub(m.receivedAt) > crashRecordTTL {
-			delete(k.crashRecords, f)
-			continue
-		}
-		st.CrashRecords = append(st.CrashRecords, m.record)
-	}
-	slices.SortFunc(st.CrashRecords, func(a, b dgram.CrashRecord) int { return strings.Compare(a.Fingerprint, b.Fingerprint) })
+	st.CrashRecords = k.crashRecords.current(now)
 	for _, n := range heldAdapters(k.report) {
 		if now.Sub(k.lastUsed[n]) < adapterUseTTL {
 			st.AdaptersInUse++
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -64,6 +64,7 @@
 		}
 		s = &subscriber{addr: from}
 		k.subscribers[from.String()] = s
+		k.crashRecords.retell(now)
 	}
 	s.gateway, s.lastSeen, s.interval = req.Gateway, now, k.cfg.HeartbeatInterval
 	if req.ReportInterval > 0 {
@@ -89,13 +90,12 @@
 	for _, c := range req.CachedPrefixes {
 		k.cachedPrefixes[c] = now
 	}
+	urgent := false
 	for _, m := range req.CrashRecords {
-		if _, known := k.crashRecords[m.Fingerprint]; known || len(k.crashRecords) < maxCrashRecords {
-			k.crashRecords[m.Fingerprint] = receivedCrashRecord{record: m, receivedAt: now}
-			k.reportDue = true
+		if k.crashRecords.merge(m, now) {
+			k.reportDue, urgent = true, true
 		}
 	}
-	urgent := len(req.CrashRecords) > 0
 	for _, w := range req.WantedAdapters {
 		n := fleet.ParseModelName(w)
 		if _, held := fleet.Holds(k.report.Models, n); held {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -74,8 +74,8 @@
 			return
 		}
 	}
-	if h.poisonTracker.blocked(c, time.Now()) {
-		h.reject(c, "crashes_endpoints", time.Until(c.deadline)/retryAfterDivisor)
+	if now := time.Now(); h.poisonTracker.blocked(c, now) || h.blockedPart(c, now) {
+		h.rejectPoison(c)
 		return
 	}
 	var last attemptFailed
@@ -105,6 +105,15 @@
 		if !h.awaitRateLimit(c, e, allowedAt) {
 			continue
 		}
+		if h.blockedPart(c, time.Now()) {
+			// The part became known while the request waited, or by its own attempts.
+			if c.possibleRuns == 0 {
+				h.rejectPoison(c)
+			} else {
+				h.giveUp(c, last)
+			}
+			return
+		}
 		c.attempts++
 		switch res := h.attempt(c, e).(type) {
 		case attemptDone:
@@ -121,6 +130,11 @@
 	h.giveUp(c, last)
 }
 
+// rejectPoison rejects a request that would crash the endpoint that runs it.
+func (h *Handler) rejectPoison(c *call) {
+	h.reject(c, "crashes_endpoints", time.Until(c.deadline)/retryAfterDivisor)
+}
+
 // choose selects the endpoint for the next attempt; without one it waits, rejects the request
 // or returns why no further attempt is made.
 func (h *Handler) choose(c *call, service fleet.Service) nextStep {
@@ -215,6 +229,7 @@
 	h.logFailedAttempt(c, res)
 	if res.connectionBroken {
 		h.recordCrash(c, time.Now())
+		h.recordPartCrash(c, e, time.Now())
 	}
 	if !res.mayHaveRun {
 		return true
@@ -334,6 +349,7 @@
 
 // attempt dispatches the request to one endpoint.
 func (h *Handler) attempt(c *call, e fleet.Endpoint) attemptResult {
+	c.answerBegun = false
 	first, end := h.tracker.beginRequest(e, c.req, c.choice.PrefillTokens)
 	defer end()
 	if c.req.ModelName.Model != "" {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -38,8 +38,9 @@
 	TrackRunning(service, model string) (ended func())
 	// RecordNoCapacity records that a request for a model found no free slot or adapter slot.
 	RecordNoCapacity(service, model string)
-	// BroadcastCrashRecord sends the crash record of a suspect request to the other gateways.
-	BroadcastCrashRecord(rec poison.CrashRecord)
+	// BroadcastCrashRecords sends crash records of suspect requests and prompt parts to the
+	// other gateways.
+	BroadcastCrashRecords(recs []poison.CrashRecord)
 	// KeepersAbsent reports whether a service's endpoints have no keepers, so that neither models
 	// nor adapters can be loaded there.
 	KeepersAbsent(service string) bool
@@ -141,6 +142,11 @@
 	lastEventID   string
 	// cachedFingerprint is set by fingerprint.
 	cachedFingerprint string
+	// partKeys identify the prompt parts that other requests may hold too.
+	partKeys []string
+	// answerBegun is set once the newest attempt has had a complete event, or a whole plain
+	// response.
+	answerBegun bool
 	// noAdapterSlot lists the ids of endpoints that had no free slot for the adapter.
 	noAdapterSlot []string
 	// demandRecorded is set once the request was counted as demand for its model.
@@ -304,6 +310,7 @@
 		return req
 	}
 	req.GapObjective = c.route.GapObjective
+	c.partKeys = sharedPartKeys(service.Name, c.in.Header.Get(h.cfg.Headers.PromptPrefix))
 	req.ModelName = fleet.ParseModelName(c.in.Header.Get(h.cfg.Headers.Model))
 	req.Parts = pick.ParsePromptParts(req.ModelName, c.in.Header.Get(h.cfg.Headers.PromptPrefix))
 	prompt, output := pick.ParseTokenCounts(c.in.Header.Get(h.cfg.Headers.TokenCounts))
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -118,12 +118,12 @@
 		return context.Cause(ctx)
 	}
 }
-func (f fakeControlPlane) RecordDemand(string, string, int, int)   {}
-func (f fakeControlPlane) TrackRunning(string, string) func()      { return func() {} }
-func (f fakeControlPlane) RecordNoCapacity(string, string)         { f.noCapacity.Add(1) }
-func (f fakeControlPlane) GatewayCount() int                       { return 1 }
-func (f fakeControlPlane) KeepersAbsent(string) bool               { return f.keepersAbsent.Load() }
-func (f fakeControlPlane) BroadcastCrashRecord(poison.CrashRecord) {}
+func (f fakeControlPlane) RecordDemand(string, string, int, int)      {}
+func (f fakeControlPlane) TrackRunning(string, string) func()         { return func() {} }
+func (f fakeControlPlane) RecordNoCapacity(string, string)            { f.noCapacity.Add(1) }
+func (f fakeControlPlane) GatewayCount() int                          { return 1 }
+func (f fakeControlPlane) KeepersAbsent(string) bool                  { return f.keepersAbsent.Load() }
+func (f fakeControlPlane) BroadcastCrashRecords([]poison.CrashRecord) {}
 
 type gateway struct {
 	*httptest.Server
--- a/internal/transport/proxy/poison.go
+++ b/internal/transport/proxy/poison.go
@@ -25,9 +25,14 @@
 	mu       sync.Mutex
 	registry *poison.Registry
 	size     int
+	suspects *poison.Suspects
+	// blockSentAt is when this gateway last told the others of a blocked part.
+	blockSentAt map[string]time.Time
 }
 
-func newPoisonTracker() *poisonTracker { return &poisonTracker{registry: poison.New()} }
+func newPoisonTracker() *poisonTracker {
+	return &poisonTracker{registry: poison.New(), suspects: poison.NewSuspects(), blockSentAt: map[string]time.Time{}}
+}
 
 // fingerprint identifies requests with the same method, host, target and body.
 func (c *call) fingerprint() string {
@@ -87,7 +92,7 @@
 		"request": c.id, "endpoint": c.choice.ID, "fingerprint": rec.Fingerprint, "crashes": unclearedCrashes(merged),
 		"prompt": c.in.Header.Get(h.cfg.Headers.PromptPrefix), "events": c.timeToFirstEvent > 0,
 	}).Info("crash recorded")
-	h.control.BroadcastCrashRecord(rec)
+	h.control.BroadcastCrashRecords([]poison.CrashRecord{rec})
 }
 
 // clearCrashes clears the crashes of a suspect request that has a complete response.
@@ -104,12 +109,16 @@
 	}
 	rec = rec.WithCrashesCleared(now.Add(crashRecordTTL))
 	h.poisonTracker.add(rec, now)
-	h.control.BroadcastCrashRecord(rec)
+	h.control.BroadcastCrashRecords([]poison.CrashRecord{rec})
 }
 
-// MergeCrashRecord merges another gateway's crash record of a suspect request.
+// MergeCrashRecord merges another gateway's crash record of a suspect request or prompt part.
 func (h *Handler) MergeCrashRecord(rec poison.CrashRecord) {
 	now := time.Now()
+	if poison.IsPart(rec) {
+		h.mergePart(rec, now)
+		return
+	}
 	rec.ExpiresAt = now.Add(crashRecordTTL)
 	if merged, news := h.poisonTracker.add(rec, now); news {
 		h.metrics.crashRecords.WithLabelValues("received").Inc()
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -31,6 +31,9 @@
 	_, err := io.Copy(&b, io.LimitReader(resp, maxBufferedBytes))
 	if err == nil && b.Len() == maxBufferedBytes {
 		onFirst()
+		if resp.Status < http.StatusMultipleChoices {
+			h.recordAnswer(c, time.Now())
+		}
 		return h.relayLong(c, e, resp, b.Bytes())
 	}
 	if err != nil {
@@ -45,6 +48,9 @@
 		return attemptFailed{mayHaveRun: true, reason: "failed_" + strconv.Itoa(resp.Status), response: a}
 	}
 	h.tracker.recordResult(e, true)
+	if resp.Status < http.StatusMultipleChoices {
+		h.recordAnswer(c, time.Now())
+	}
 	onFirst()
 	h.writeResponse(c, a, outcomeAnswered)
 	return attemptDone{}
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -32,7 +32,10 @@
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		parsed := events.Parse(pending)
-		anyEvent = anyEvent || parsed.Any
+		if parsed.Any {
+			anyEvent = true
+			h.recordAnswer(c, time.Now())
+		}
 		complete := parsed.Complete
 		c.partialEventBytes = len(pending) - complete
 		if errors.Is(err, io.EOF) {
