entry, peer: block chat messages that crash engines

What callers saw: chats that share one message crashed engine after engine.

Cause: agents and entries knew a request by its whole content, so that chats with one message in common were never equal.

Change: an entry keeps the messages of chats as suspects, as a gateway keeps the parts of prompts, and rejects a chat that holds a blocked one with crashes_engines. Entries and agents gossip the records with those of requests.

Evidence: TestSharedMessagePoisonBound failed (53 crashes of 12 engines, 37 of them later than 3 s after the fifth) and passes: 3 crashes, 120 of 120 sound chats served. TestPoisonBound and TestChatPoisonBound pass five times of five.

--- a/internal/state/poison/suspects.go
+++ b/internal/state/poison/suspects.go
@@ -35,7 +35,13 @@
 const partPrefix = "part:"
 
 // IsPart reports whether a crash record is that of a prompt part rather than of a request.
-func IsPart(rec CrashRecord) bool { return strings.HasPrefix(rec.Fingerprint, partPrefix) }
+func IsPart(rec CrashRecord) bool {
+	_, ok := PartOf(rec.Fingerprint)
+	return ok
+}
+
+// PartOf returns the part that a fingerprint in a crash record stands for, if it stands for one.
+func PartOf(fingerprint string) (string, bool) { return strings.CutPrefix(fingerprint, partPrefix) }
 
 // Suspects finds the prompt parts that crash endpoints, whatever else a request holds. It is
 // pure and not safe for concurrent use.
@@ -79,7 +85,7 @@
 			continue
 		}
 		s.Add(CrashRecord{Fingerprint: partPrefix + p, ExpiresAt: now.Add(PartRecordTTL), Crashes: []Crash{{ID: incarnation, Level: LevelShared}}}, now)
-		out = append(out, s.record(p))
+		out = append(out, s.Record(p))
 	}
 	return out
 }
@@ -96,7 +102,7 @@
 				sp.crashes[id] = c
 			}
 			delete(s.mayBlock, p)
-			out = append(out, s.record(p))
+			out = append(out, s.Record(p))
 		}
 	}
 	return out
@@ -104,7 +110,7 @@
 
 // Add merges the record of a part and reports whether it holds news.
 func (s *Suspects) Add(rec CrashRecord, now time.Time) bool {
-	part := strings.TrimPrefix(rec.Fingerprint, partPrefix)
+	part, _ := PartOf(rec.Fingerprint)
 	if !now.Before(rec.ExpiresAt) {
 		return false
 	}
@@ -154,9 +160,6 @@
 	return ""
 }
 
-// Record returns the record of a part for other processes.
-func (s *Suspects) Record(part string) CrashRecord { return s.record(part) }
-
 // hotPart is a part with enough crashes to be blocked.
 type hotPart struct {
 	part       string
@@ -221,7 +224,8 @@
 	return times[len(times)-1].Sub(times[0]) >= knownPartSpan
 }
 
-func (s *Suspects) record(part string) CrashRecord {
+// Record returns the record of a part for other processes; one of an unknown part has expired.
+func (s *Suspects) Record(part string) CrashRecord {
 	sp := s.parts[part]
 	rec := CrashRecord{Fingerprint: partPrefix + part, ExpiresAt: sp.expiresAt}
 	for _, id := range slices.Sorted(maps.Keys(sp.crashes)) {
--- a/internal/transport/entry/affinity.go
+++ b/internal/transport/entry/affinity.go
@@ -33,6 +33,7 @@
 	}
 	parts := openai.PromptParts(api.Messages)
 	r.prefixDigests = prefix.ChatDigests(r.model, parts)
+	r.messageKeys = messageKeys(r.model, parts)
 	r.conversationKey = strconv.FormatUint(prefix.ConversationHash(r.model, parts), 16)
 }
 
--- a/internal/transport/entry/dispatch.go
+++ b/internal/transport/entry/dispatch.go
@@ -33,6 +33,8 @@
 	prefixDigests prefix.Digests
 	// conversationKey is the home key of a chat; it is empty for other requests.
 	conversationKey string
+	// messageKeys identify the messages of a chat, whatever else it holds.
+	messageKeys []string
 	// startBy is the time after which the request may not start.
 	startBy time.Time
 }
@@ -63,8 +65,12 @@
 	defer func() { admission.Done(chargedTokens(req, combined)) }()
 	tried := triedTargets{endpoints: sets.Of[string](), domains: sets.Of[string]()}
 	state := retry.RequestState{Idempotent: req.idempotent, StartBy: req.startBy}
-	awaited := false
+	awaited, answered := false, false
 	deliver := func(items []json.RawMessage) error {
+		if len(items) > 0 && !answered {
+			answered = true
+			e.recordParts(req, "", result{}, true)
+		}
 		if awaited && !state.Delivered {
 			e.recordLoadTime(req)
 		}
@@ -89,7 +95,11 @@
 			e.recordPrefix(req, c.Endpoint)
 			tried.endpoints.Add(c.Endpoint)
 			tried.domains.Add(c.FailureDomain)
+			answered = false
 			res, sent = e.attempt(ctx, req, c, deliver)
+			if !answered {
+				e.recordParts(req, c.Endpoint, res, false)
+			}
 			meter.recordAttempt(res.outcome)
 			meter.recordPromptTokens(c, res.usage)
 			e.recordHealth(ctx, c.Endpoint, res)
@@ -100,7 +110,7 @@
 		if retry.CombineOutcomes(combined.outcome, res.outcome) == res.outcome {
 			combined = res
 		}
-		if !e.shouldRetry(ctx, req, state) {
+		if !e.shouldRetry(ctx, req, state) || e.poison.BlockedPart(req.messageKeys) {
 			return meter.recordOutcome(finalizeError(combined))
 		}
 	}
--- a/internal/transport/entry/poison.go
+++ b/internal/transport/entry/poison.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"strconv"
+	"time"
 
 	"chervilhead/internal/protocol/wire"
 	"chervilhead/internal/state/fault"
 	"chervilhead/internal/state/ident"
 	"chervilhead/internal/state/poison"
+	"chervilhead/internal/state/prefix"
 	"chervilhead/internal/transport/peer"
 )
 
@@ -46,8 +49,38 @@
 
 // rejectPoison returns an error for a request that is blocked because it crashes engines.
 func (e *Entry) rejectPoison(req *request) *fault.Error {
-	if req.kind == wire.KindService || e.poison.Verdict(req.fingerprint()) != poison.Blocked {
+	if req.kind == wire.KindService || e.poison.Verdict(req.fingerprint()) != poison.Blocked && !e.poison.BlockedPart(req.messageKeys) {
 		return nil
 	}
 	return fault.New(fault.Invalid, fault.CodeCrashesEngines, "the request crashes the engines that run it and is not run again", "change the request").WithOutcome(fault.OutcomeNotRun)
 }
+
+// maxSuspectMessages bounds the messages of one chat that may become suspect: the newest.
+const maxSuspectMessages = 32
+
+// messageKeys returns the keys of a chat's messages, each by its own content and the model
+// alone, so that a message that crashes engines is known in every chat.
+func messageKeys(model string, parts []prefix.Part) []string {
+	out := make([]string, 0, min(len(parts), maxSuspectMessages))
+	for _, p := range parts[max(0, len(parts)-maxSuspectMessages):] {
+		out = append(out, ident.Fingerprint(p.Role, model, p.Text))
+	}
+	return out
+}
+
+// crashInterval divides time: all requests that an endpoint loses within one interval were lost
+// in one crash, because an engine takes about as long to start again.
+const crashInterval = 2 * time.Second
+
+// recordParts records what an attempt tells of the messages of its request: answered is set if
+// it had an item.
+func (e *Entry) recordParts(req *request, endpoint string, res result, answered bool) {
+	switch {
+	case len(req.messageKeys) == 0:
+	case answered:
+		e.poison.RecordPartAnswer(req.messageKeys)
+	case res.err != nil && res.err.Code == fault.CodeEngineCrashed:
+		crash := endpoint + "/" + strconv.FormatInt(time.Now().UnixNano()/int64(crashInterval), 36)
+		e.poison.RecordPartCrash(req.messageKeys, crash)
+	}
+}
--- a/internal/transport/peer/poison.go
+++ b/internal/transport/peer/poison.go
@@ -27,6 +27,8 @@
 type PoisonTracker struct {
 	mu       sync.Mutex
 	registry *poison.Registry
+	// suspects are the messages that may crash engines in whatever request.
+	suspects *poison.Suspects
 	addedAt  map[string]time.Time
 	pool     *Pool
 	peers    func() []string
@@ -38,7 +40,7 @@
 // NewPoisonTracker returns a tracker without records that sends nothing until
 // EnableGossip is called; holders returns the addresses of the agents that hold a model.
 func NewPoisonTracker(holders func(model string) []string, random jitter.Random) *PoisonTracker {
-	return &PoisonTracker{registry: poison.New(), addedAt: map[string]time.Time{}, holders: holders, random: random, peers: func() []string { return nil }}
+	return &PoisonTracker{registry: poison.New(), suspects: poison.NewSuspects(), addedAt: map[string]time.Time{}, holders: holders, random: random, peers: func() []string { return nil }}
 }
 
 // EnableGossip makes the tracker send new records over pool to addresses that peers returns.
@@ -73,6 +75,48 @@
 	}
 }
 
+// RecordPartCrash records that an engine crashed before it answered a request with some parts.
+// crash identifies the crash, so that other requests that were lost with it don't count as
+// further ones.
+func (t *PoisonTracker) RecordPartCrash(parts []string, crash string) {
+	t.mu.Lock()
+	records := t.suspects.Crashed(parts, crash, time.Now())
+	t.mu.Unlock()
+	t.spread(records)
+}
+
+// RecordPartAnswer records that a request with some parts got the first item of its answer.
+func (t *PoisonTracker) RecordPartAnswer(parts []string) {
+	t.mu.Lock()
+	records := t.suspects.Answered(parts, time.Now())
+	t.mu.Unlock()
+	t.spread(records)
+}
+
+// BlockedPart reports whether one of some parts crashes engines.
+func (t *PoisonTracker) BlockedPart(parts []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.suspects.Blocked(parts, time.Now()) != ""
+}
+
+// spread sends records of parts to random processes, now and for a while.
+func (t *PoisonTracker) spread(records []poison.CrashRecord) {
+	if len(records) == 0 {
+		return
+	}
+	now := time.Now()
+	t.mu.Lock()
+	for _, rec := range records {
+		t.addedAt[rec.Fingerprint] = now
+	}
+	pool, peers := t.pool, t.peers
+	t.mu.Unlock()
+	if pool != nil {
+		t.send(pool, t.sample(peers(), recordFanout), records, now)
+	}
+}
+
 // Lookup returns the crash record of a fingerprint in its wire form, or nil.
 func (t *PoisonTracker) Lookup(fingerprint string) []wire.CrashRecord {
 	now := time.Now()
@@ -104,10 +148,10 @@
 	var added []poison.CrashRecord
 	t.mu.Lock()
 	for _, rec := range records {
-		if !t.registry.Add(rec, now) {
+		if !t.add(rec, now) {
 			continue
 		}
-		rec, _ = t.registry.Get(rec.Fingerprint, now)
+		rec, _ = t.get(rec.Fingerprint, now)
 		added = append(added, rec)
 		t.addedAt[rec.Fingerprint] = now
 	}
@@ -124,6 +168,23 @@
 	t.send(pool, t.sample(peers(), recordFanout), added, now)
 }
 
+// add merges the record of a request or a part and reports whether it holds news; mu is held.
+func (t *PoisonTracker) add(rec poison.CrashRecord, now time.Time) bool {
+	if poison.IsPart(rec) {
+		return t.suspects.Add(rec, now)
+	}
+	return t.registry.Add(rec, now)
+}
+
+// get returns the record of a request or a part, unless it has expired; mu is held.
+func (t *PoisonTracker) get(fingerprint string, now time.Time) (poison.CrashRecord, bool) {
+	if part, ok := poison.PartOf(fingerprint); ok {
+		rec := t.suspects.Record(part)
+		return rec, now.Before(rec.ExpiresAt)
+	}
+	return t.registry.Get(fingerprint, now)
+}
+
 func (t *PoisonTracker) sample(addrs []string, n int) []string {
 	jitter.Shuffle(t.random, addrs)
 	return addrs[:min(n, len(addrs))]
@@ -168,7 +229,7 @@
 	var records []poison.CrashRecord
 	t.mu.Lock()
 	for fp, at := range t.addedAt {
-		rec, ok := t.registry.Get(fp, now)
+		rec, ok := t.get(fp, now)
 		if !ok || now.Sub(at) > repeatPeriod {
 			delete(t.addedAt, fp)
 			continue
