--- a/internal/state/poison/doc.go
+++ b/internal/state/poison/doc.go
@@ -14,4 +14,7 @@
 // a time: a crash in one blocks the request at that home before it permits another. The
 // bound requires that the agents hold the same placement plan and that the agent of the
 // first home is reachable. It does not depend on how fast crash records spread.
+//
+// Suspects knows parts of prompts rather than requests, because one part may crash engines in
+// whatever request.
 package poison
--- a/internal/state/poison/suspects.go
+++ b/internal/state/poison/suspects.go
@@ -25,10 +25,10 @@
 	// answeredRecently is the time after an answer in which a part is beyond suspicion.
 	answeredRecently = 2 * time.Second
 	// maxPartCrashes bounds the crashes of one part, maxSuspects the suspect parts.
-	maxPartCrashes = 16
-	maxSuspects    = 1024
+	maxPartCrashes = 8
+	maxSuspects    = 256
 	// maxAnswered bounds the parts that were answered in each of two generations.
-	maxAnswered = 8192
+	maxAnswered = 4096
 )
 
 // partPrefix begins the fingerprints of parts in crash records.
