--- a/internal/state/poison/suspects_test.go
+++ b/internal/state/poison/suspects_test.go
@@ -9,7 +9,8 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// step is a crash or an answer of a request with some parts.
+// step is a crash of an endpoint, or if that is empty an answer, of a request whose parts are
+// single letters.
 type step struct {
 	at       time.Duration
 	parts    string
@@ -24,8 +25,7 @@
 	return out
 }
 
-// TestSuspects plays crashes (steps with an endpoint) and answers (steps without) of requests,
-// whose parts are single letters, and checks which parts are blocked at the end.
+// TestSuspects guards against a deadly part that is not blocked, and a sound one that is.
 func TestSuspects(t *testing.T) {
 	const ms = time.Millisecond
 	for _, tc := range []struct {
--- a/internal/transport/entry/poison_chat_test.go
+++ b/internal/transport/entry/poison_chat_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -28,14 +27,7 @@
 // long first message is the same for all chats, so that they have the same homes.
 func (f *crashFleet) sendChat(entry int, last string) (int, string) {
 	first := strings.Repeat("the same first message ", 400)
-	r := httptest.NewRequest(http.MethodPost, openai.PathChat, strings.NewReader(fmt.Sprintf(
-		`{"model":"m","messages":[{"role":"user","content":%q},{"role":"assistant","content":"yes"},{"role":"user","content":%q}]}`, first, last)))
-	r.Header.Set("Authorization", "Bearer k")
-	w := httptest.NewRecorder()
-	f.entries[entry].Handler().ServeHTTP(w, r)
-	var body openai.ErrorBody
-	_ = json.Unmarshal(w.Body.Bytes(), &body)
-	return w.Code, body.Error.Code
+	return f.post(entry, openai.PathChat, fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q},{"role":"assistant","content":"yes"},{"role":"user","content":%q}]}`, first, last))
 }
 
 // TestChatPoisonBound guards against a chat that crashes more than three engines because
--- a/internal/transport/entry/poison_part_test.go
+++ b/internal/transport/entry/poison_part_test.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -17,21 +15,11 @@
 
 // sendMessages sends a chat of user messages through an entry and returns the status and the error code.
 func (f *crashFleet) sendMessages(entry int, messages ...string) (int, string) {
-	var list []map[string]string
+	list := make([]string, 0, len(messages))
 	for _, m := range messages {
-		list = append(list, map[string]string{"role": "user", "content": m})
+		list = append(list, fmt.Sprintf(`{"role":"user","content":%q}`, m))
 	}
-	b, err := json.Marshal(map[string]any{"model": "m", "messages": list})
-	if err != nil {
-		panic(err)
-	}
-	r := httptest.NewRequest(http.MethodPost, openai.PathChat, strings.NewReader(string(b)))
-	r.Header.Set("Authorization", "Bearer k")
-	w := httptest.NewRecorder()
-	f.entries[entry].Handler().ServeHTTP(w, r)
-	var body openai.ErrorBody
-	_ = json.Unmarshal(w.Body.Bytes(), &body)
-	return w.Code, body.Error.Code
+	return f.post(entry, openai.PathChat, `{"model":"m","messages":[`+strings.Join(list, ",")+`]}`)
 }
 
 // TestSharedMessagePoisonBound guards against chats that share one message, and nothing else, crashing engine after engine.
--- a/internal/transport/entry/poison_test.go
+++ b/internal/transport/entry/poison_test.go
@@ -148,13 +148,17 @@
 
 // send sends a prompt through an entry and returns the status and the error code.
 func (f *crashFleet) send(entry int, prompt string) (int, string) {
-	r := httptest.NewRequest(http.MethodPost, openai.PathCompletions, strings.NewReader(fmt.Sprintf(`{"model":"m","prompt":%q}`, prompt)))
+	return f.post(entry, openai.PathCompletions, fmt.Sprintf(`{"model":"m","prompt":%q}`, prompt))
+}
+
+func (f *crashFleet) post(entry int, path, body string) (int, string) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer k")
 	w := httptest.NewRecorder()
 	f.entries[entry].Handler().ServeHTTP(w, r)
-	var body openai.ErrorBody
-	_ = json.Unmarshal(w.Body.Bytes(), &body)
-	return w.Code, body.Error.Code
+	var reply openai.ErrorBody
+	_ = json.Unmarshal(w.Body.Bytes(), &reply)
+	return w.Code, reply.Error.Code
 }
 
 // crashes returns the number of engines that crashed at least once, and of all crashes.
