--- a/internal/transport/keeper/crashrecord.go
+++ b/internal/transport/keeper/crashrecord.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// crashRecordTTL is how long gateways are told of a crash record after one has sent it.
+	// crashRecordTTL is how long reports include a crash record after a gateway has sent it.
 	crashRecordTTL = 2 * time.Second
 	// maxCrashRecords bounds the crash records that are kept, and so those of one report.
 	maxCrashRecords = 16
@@ -18,8 +18,8 @@
 	maxCrashRecordLife = 10 * time.Minute
 )
 
-// crashRecords are the crash records that gateways sent, by fingerprint. A record is told to
-// the gateways for a short time, and again to one that starts before the record expires.
+// crashRecords are the crash records that gateways sent, by fingerprint. Reports include a
+// record for a short time, and again for a gateway that starts before the record expires.
 type crashRecords map[string]keptCrashRecord
 
 type keptCrashRecord struct {
@@ -52,7 +52,7 @@
 	return news
 }
 
-// retell makes the next reports hold all records, for a gateway that has just started.
+// retell makes the next reports include all records, for a gateway that has just started.
 func (r crashRecords) retell(now time.Time) {
 	for f, k := range r {
 		k.tellUntil = now.Add(crashRecordTTL)
