fleet, platform: groups of callers with keys and quotas as types, public routes

The work on keys and on quotas starts side by side and needs the same types. Nothing reads them yet, so that no decision changes: a configuration without groups behaves as before.

--- a/internal/state/fleet/config.go
+++ b/internal/state/fleet/config.go
@@ -36,6 +36,9 @@
 	routes   map[routeKey]Route
 	services map[string]Service
 	Limits   Limits
+	// groups are nil if callers need no keys; keys maps the digests of keys to group names.
+	groups map[string]Group
+	keys   map[KeyDigest]string
 }
 
 // routeKey identifies a route by its host name in lower case and its prefix.
@@ -64,6 +67,8 @@
 	// Targets are the services with their weights; the sum of the weights is positive.
 	Targets   []Target
 	Resumable bool
+	// Public routes ask callers for no key even if the configuration names groups.
+	Public bool
 }
 
 // Target is one service of a route and its weight.
