proxy, platform: API keys decide which group a request belongs to

Cause: the configuration's tenants weren't decoded and the callers' keys weren't read; they were forwarded to endpoints.

--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -24,6 +24,8 @@
 	Changed bool
 	// DecodeErrors has an error for each configuration that could not be decoded.
 	DecodeErrors []error
+	// Skipped has an error for each entry that is left out of Config because it can't be read.
+	Skipped []error
 }
 
 // EndpointChange is the store's answer to a read of the endpoints.
@@ -171,6 +173,9 @@
 			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full}).Info("configuration in force")
 			v.Config, v.HasConfig = ch.Config, true
 		})
+		if news {
+			w.logSkipped(ch)
+		}
 		if news || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
 			continue
 		}
@@ -179,6 +184,16 @@
 	}
 }
 
+// maxSkippedLogs bounds the log lines about one configuration's unreadable entries.
+const maxSkippedLogs = 20
+
+// logSkipped logs the entries that a new configuration lacks because they can't be read.
+func (w *Watcher) logSkipped(ch ConfigChange) {
+	for _, err := range ch.Skipped[:min(len(ch.Skipped), maxSkippedLogs)] {
+		w.log.WithError(err).WithFields(logrus.Fields{"config": ch.Config.Version, "unreadable": len(ch.Skipped)}).Error("an entry of the configuration can't be read; the others are in force")
+	}
+}
+
 // logRestart logs that a read of the configuration was cancelled after a time.
 func (w *Watcher) logRestart(after time.Duration) {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/transport/proxy/authorize.go
@@ -0,0 +1,176 @@
+package proxy
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/state/fleet"
+)
+
+// access is how a request was authorized.
+type access struct {
+	// grouped is set if the configuration names groups of callers.
+	grouped bool
+	// keyed is set if the request needs a key; key is the digest of its key.
+	keyed bool
+	key   fleet.KeyDigest
+	// fingerprint is a keyed digest of a refused key, by which log lines of one process can be
+	// compared.
+	fingerprint string
+	// refusal is the reason of a refusal, or "".
+	refusal string
+	// confirmedAge is the age of the configuration's last confirmation at a refusal.
+	confirmedAge time.Duration
+}
+
+// Reasons for which requests are refused for their key.
+const (
+	// refusedMissing, refusedMalformed and refusedUnknown are answered 401.
+	refusedMissing   = "key_missing"
+	refusedMalformed = "key_malformed"
+	refusedUnknown   = "key_unknown"
+	// refusedRevoked is answered 401 to a request whose key was removed while it waited.
+	refusedRevoked = "key_revoked"
+	// refusedStale is answered 503: the key isn't known, but a newer configuration may have it.
+	refusedStale = "key_unknown_stale"
+)
+
+// maxKeyBytes bounds a key, as callers' contract does.
+const maxKeyBytes = 256
+
+// callerKey returns the key that a request's header gives, or why it gives none.
+func callerKey(h http.Header, name string) (key, refusal string) {
+	values := h.Values(name)
+	if len(values) == 0 {
+		return "", refusedMissing
+	}
+	if len(values) > 1 || values[0] == "" || len(values[0]) > maxKeyBytes || strings.ContainsAny(values[0], ", \t\r\n\v\f") {
+		return "", refusedMalformed
+	}
+	return values[0], ""
+}
+
+// newFingerprintKey returns the random key of a process's fingerprints, with which nobody can
+// test a guessed key against a log.
+func newFingerprintKey() []byte {
+	k := make([]byte, sha256.Size)
+	// Read never fails; see crypto/rand.
+	_, _ = rand.Read(k)
+	return k
+}
+
+// fingerprintBytes is the length of a key's fingerprint in logs, which has two digits a byte.
+const fingerprintBytes = 4
+
+func (h *Handler) keyFingerprint(key string) string {
+	m := hmac.New(sha256.New, h.fingerprintKey)
+	m.Write([]byte(key))
+	return hex.EncodeToString(m.Sum(nil)[:fingerprintBytes])
+}
+
+// authorize sets the group of the caller's key. It answers the request and returns false if
+// the route needs a key that the request doesn't have.
+func (h *Handler) authorize(c *call, v *watch.View) bool {
+	c.access.grouped = v.Config.HasGroups()
+	if !c.access.grouped || c.route.Public {
+		return true
+	}
+	c.access.keyed = true
+	key, refusal := callerKey(c.in.Header, h.cfg.Headers.Key)
+	if refusal != "" {
+		h.refuseKey(c, v, refusal)
+		return false
+	}
+	c.access.key = fleet.DigestKey(key)
+	group, ok := v.Config.GroupOfKey(c.access.key)
+	if !ok {
+		c.access.fingerprint = h.keyFingerprint(key)
+		h.refuseKey(c, v, refusedUnknown)
+		return false
+	}
+	c.group = group
+	return true
+}
+
+// reauthorize checks a request's key again before an attempt. It answers the request and
+// returns false if the key was removed and the request has not run.
+func (h *Handler) reauthorize(c *call) bool {
+	if !c.access.keyed || c.possibleRuns > 0 {
+		return true
+	}
+	v := h.view()
+	if v.Config.Version == c.configVersion || !v.Config.HasGroups() {
+		return true
+	}
+	if _, ok := v.Config.GroupOfKey(c.access.key); ok {
+		return true
+	}
+	if r, ok := v.Config.Route(c.in.Host, c.in.URL.Path); ok && r.Public {
+		return true
+	}
+	h.refuseKey(c, v, refusedRevoked)
+	return false
+}
+
+// refuseKey answers a request without a valid key: 401 if the configuration was confirmed
+// recently, else 503, because a newer one may allow the request.
+func (h *Handler) refuseKey(c *call, v *watch.View, reason string) {
+	c.access.confirmedAge = time.Since(v.ConfigConfirmedAt)
+	if c.access.confirmedAge > h.cfg.ConfigStaleAfter {
+		h.rejectKey(c, refusedStale)
+		return
+	}
+	c.access.refusal = reason
+	h.metrics.keys.refused.WithLabelValues(reason).Inc()
+	h.respond(c, http.StatusUnauthorized, reason)
+}
+
+// rejectKey answers 503 to a request whose key can't be judged.
+func (h *Handler) rejectKey(c *call, reason string) {
+	c.access.refusal = reason
+	h.metrics.keys.refused.WithLabelValues(reason).Inc()
+	h.reject(c, reason, startRetryAfter)
+}
+
+// fields returns the log fields that say why a request was refused for its key.
+func (a access) fields() logrus.Fields {
+	if a.refusal == "" {
+		return nil
+	}
+	return logrus.Fields{"refusal": a.refusal, "key_fingerprint": a.fingerprint, "config_confirmed_age_ms": a.confirmedAge.Milliseconds()}
+}
+
+const (
+	// defaultEnginePriority is the engines' default, the middle of their range, and
+	// lowestEnginePriority its end.
+	defaultEnginePriority = 3
+	lowestEnginePriority  = 9
+	// defaultGroupPriority is that of a group without a priority.
+	defaultGroupPriority = 1
+	// groupPriorityStep is the number of route priorities that each group priority is divided
+	// into, so that the group's comes first; priorities above maxRankedPriority count as that.
+	groupPriorityStep = 3
+	maxRankedPriority = 2
+	// firstGroupedPriority is the priority of the most urgent group and route; 0 is left free.
+	firstGroupedPriority = 1
+)
+
+// priority maps the priorities of the request's group and route to the engines' range.
+func (c *call) priority() int {
+	if !c.access.grouped {
+		return min(lowestEnginePriority, defaultEnginePriority+c.route.Priority)
+	}
+	p := defaultGroupPriority
+	if c.group.HasPriority {
+		p = c.group.Priority
+	}
+	return max(0, min(lowestEnginePriority, firstGroupedPriority+groupPriorityStep*min(p, maxRankedPriority)+min(c.route.Priority, maxRankedPriority)))
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -115,6 +115,9 @@
 			}
 			return
 		}
+		if !h.reauthorize(c) {
+			return
+		}
 		c.attempts++
 		switch res := h.attempt(c, e).(type) {
 		case attemptDone:
@@ -383,7 +386,10 @@
 	hd.Set(h.cfg.Headers.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	hd.Set(h.cfg.Headers.ExpectInstance, e.ID)
 	if c.req.ModelName.Model != "" {
-		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(priority(c.route)))
+		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(c.priority()))
+	}
+	if c.group.Name != "" {
+		hd.Set(h.cfg.Headers.Group, c.group.Name)
 	}
 	if c.lastEventID != "" {
 		hd.Set(h.cfg.Headers.LastEventID, c.lastEventID)
@@ -441,9 +447,6 @@
 	return h.relayPlain(c, e, resp, onFirst)
 }
 
-// priority maps a route's priority to the engines' range, whose middle is the engines' default.
-func priority(r fleet.Route) int { return min(9, 3+r.Priority) }
-
 // errPaused keeps a request from being sent that got its connection in its endpoint's pause.
 var errPaused = errors.New("the endpoint has asked for a pause")
 
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -74,6 +74,8 @@
 	poisonTracker *poisonTracker
 	log           *logrus.Entry
 	metrics       *Metrics
+	// fingerprintKey is the key of the fingerprints of callers' keys.
+	fingerprintKey []byte
 
 	draining  atomic.Bool
 	bodyBytes atomic.Int64
@@ -81,7 +83,7 @@
 
 // New returns a handler that reads the configuration and endpoints from view.
 func New(cfg Settings, view func() *watch.View, control ControlPlane, pool *http1.Pool, metrics *Metrics, log *logrus.Entry) *Handler {
-	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics}
+	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
 }
 
 // draw returns a random number in [0, 1).
@@ -126,10 +128,14 @@
 	id    string
 	began time.Time
 	route fleet.Route
-	req   pick.Request
-	body  []byte
-	in    *http.Request
-	w     http.ResponseWriter
+	// group is the group of the caller's key; it has no name if the request needs no key.
+	group fleet.Group
+	// access is how the request was authorized.
+	access access
+	req    pick.Request
+	body   []byte
+	in     *http.Request
+	w      http.ResponseWriter
 	// ctx ends when the client leaves, at its deadline or at the route's timeout.
 	ctx context.Context
 	// deadline is when ctx ends; it is zero until the body has been read.
@@ -207,6 +213,9 @@
 		return
 	}
 	c.route, c.configVersion = route, v.Config.Version
+	if !h.authorize(c, v) {
+		return
+	}
 	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
 	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
 	service, ok := v.Config.Service(route.PickService(h.draw()))
--- a/internal/transport/proxy/headers.go
+++ b/internal/transport/proxy/headers.go
@@ -35,6 +35,9 @@
 	// Priority holds the request's priority at an engine; 0 goes first.
 	Priority    string
 	LastEventID string
+	// Key holds a caller's key, which is never forwarded; Group the name of the key's group,
+	// which only the system sets.
+	Key, Group string
 	// Reserved lists the fields that are removed from clients' requests because only the
 	// system sets them.
 	Reserved []string
@@ -70,5 +73,7 @@
 	for _, k := range n.Reserved {
 		out.Del(k)
 	}
+	out.Del(n.Key)
+	out.Del(n.Group)
 	return out
 }
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -17,6 +17,7 @@
 	notices          *prometheus.CounterVec
 	late             *prometheus.CounterVec
 	crashRecords     *prometheus.CounterVec
+	keys             keyMetrics
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -43,6 +44,7 @@
 		}, []string{"source"}),
 	}
 	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords)
+	m.keys = newKeyMetrics(reg)
 	return m
 }
 
@@ -64,9 +66,9 @@
 	if late != "" {
 		h.metrics.late.WithLabelValues(kind, late).Inc()
 	}
-	h.log.WithFields(logrus.Fields{
+	h.log.WithFields(c.access.fields()).WithFields(logrus.Fields{
 		"late": late, "gap_ms": c.longestGap.Milliseconds(),
-		"request": c.id, "route": c.route.Name, "name": c.req.ModelName.String(), "endpoint": c.choice.ID, "candidates": c.choice.CandidateCount,
+		"request": c.id, "route": c.route.Name, "group": c.group.Name, "name": c.req.ModelName.String(), "endpoint": c.choice.ID, "candidates": c.choice.CandidateCount,
 		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.PrefillTokens, "backlog": c.choice.BacklogTokens, "start_wait_ms": c.choice.StartWait.Milliseconds(), "fetch": c.choice.LoadAdapter,
 		"report_age_ms": c.reportAge.Milliseconds(), "config": c.configVersion, "left_ms": time.Until(c.deadline).Milliseconds(),
 		"tries": c.attempts, "runs": c.possibleRuns, "status": c.status, "outcome": c.outcome,
