watch, clock, platform: the store's time proves which configuration is the newest

Cause: the age of a configuration was that of the last answer's arrival. A frozen gateway reads answers and datagrams long after they were sent, so a removed key could stay valid there for any time. Change: internal/state/clock bounds the offset of the store's clock; watch.View holds the time at which its configuration is proven to have been the newest, and announcements carry that time by the store's clock. A restored store proves nothing for two announcements. proxy serves a request that needs a key only if the proof is recent enough where revocation.strict is set, else 503 keys_unconfirmed.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -16,6 +16,7 @@
 	Store          Store          `yaml:"store"`
 	Retries        Retries        `yaml:"retries"`
 	ModelLoadLimit ModelLoadLimit `yaml:"loads"`
+	Revocation     Revocation     `yaml:"revocation"`
 	Shutdown       Shutdown       `yaml:"leave"`
 	Resources      ResourceLimits `yaml:"resources"`
 	LogLevel       string         `yaml:"log_level"`
@@ -85,6 +86,15 @@
 	Window time.Duration `yaml:"window"`
 }
 
+// Revocation holds the bound on the use of keys that a configuration removed.
+type Revocation struct {
+	// Strict makes the bound hold for all gateways, also those that are frozen or cut off.
+	Strict bool `yaml:"strict"`
+	// Bound is the time after the store's acknowledgement from which no request may run whose
+	// caller sends it with a removed key.
+	Bound time.Duration `yaml:"bound"`
+}
+
 // Shutdown holds the times of a gateway's shutdown.
 type Shutdown struct {
 	// GracePeriod is the time between the signal to stop and the kill.
@@ -98,12 +108,18 @@
 	MemoryMB int64 `yaml:"memory_mb"`
 }
 
+// minRevocationBound is the shortest bound that a gateway can keep without refusing requests: a
+// planner's read of the configuration lasts up to 2.2 s and its announcement 0.6 s more.
+const minRevocationBound = 3 * time.Second
+
 func newGateway() Settings {
 	return &Gateway{
 		Role: "gateway",
 		// The store answers within a few milliseconds; a slow one takes 60 times as long.
 		Store:          defaultStore(),
 		ModelLoadLimit: ModelLoadLimit{Window: 5 * time.Second},
+		// The bound is that of the platform's contract.
+		Revocation: Revocation{Bound: 5 * time.Second},
 		// The load balancer notices after two health checks, one second apart.
 		Shutdown: Shutdown{GracePeriod: 8 * time.Second, DrainDelay: 2500 * time.Millisecond},
 	}
@@ -148,6 +164,8 @@
 	c.add(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "a value is below zero", "write the ratio and slack of the platform's retry budget")
 	c.positive("retries.window", s.Retries.Window)
 	c.positive("loads.window", s.ModelLoadLimit.Window)
+	c.add(s.Revocation.Bound < minRevocationBound, "revocation.bound",
+		fmt.Sprintf("value %s is below %s, in which proofs can't arrive", s.Revocation.Bound, minRevocationBound), "write a longer duration")
 	c.positive("leave.grace", s.Shutdown.GracePeriod)
 	c.add(s.Shutdown.DrainDelay < 0 || s.Shutdown.DrainDelay >= s.Shutdown.GracePeriod, "leave.unready",
 		fmt.Sprintf("value %s is not between zero and the grace period %s", s.Shutdown.DrainDelay, s.Shutdown.GracePeriod), "write a shorter duration")
--- a/internal/config/gateway_test.go
+++ b/internal/config/gateway_test.go
@@ -16,6 +16,7 @@
 	"ip": "10.1.0.38", "internalPorts.0": "7380", "internalPorts.1": "7395", "platform.address|json": `"10.200.1.7:8142"`,
 	"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "56", "bounds.budgetWindowS": "10", "bounds.graceS": "8",
 	"bounds.ceilingWindowS": "4", "#bounds.ceilingWindowS": "", "/bounds.ceilingWindowS": "",
+	"#bounds.revokeStrict": "", "/bounds.revokeStrict": "", "bounds.revokeMs": "5000",
 	"limits.memoryMb": "284", "service|json": `"s"`, "app|json": `"10.1.0.40:8145"`,
 }
 
@@ -42,7 +43,7 @@
 		t.Fatal(err)
 	}
 	g, ok := s.(*Gateway)
-	if !ok || g.Retries.Slack != 56 || g.Shutdown.GracePeriod != 8*time.Second || g.KeeperPort != 7395 || g.Resources.MemoryMB != 284 || g.ModelLoadLimit.Window != 4*time.Second {
+	if !ok || g.Retries.Slack != 56 || g.Shutdown.GracePeriod != 8*time.Second || g.KeeperPort != 7395 || g.Resources.MemoryMB != 284 || g.ModelLoadLimit.Window != 4*time.Second || g.Revocation != (Revocation{Strict: true, Bound: 5 * time.Second}) {
 		t.Errorf("settings %+v", s)
 	}
 	if s, err = Parse("keeper", []byte(render(t, "keeper.yaml.tmpl"))); err != nil {
@@ -63,6 +64,7 @@
 		"resources.memory_mb": {"memory_mb: 284", "memory_mb: 0"},
 		"retries.window":      {"window: 10s", "window: 0s"},
 		"loads.window":        {"window: 4s", "window: 0s"},
+		"revocation.bound":    {"bound: 5000ms", "bound: 100ms"},
 	} {
 		_, err := Parse("gateway", []byte(strings.Replace(good, change[0], change[1], 1)))
 		if err == nil || !strings.Contains(err.Error(), field) {
--- a/internal/coordination/lease/suspend.go
+++ b/internal/coordination/lease/suspend.go
@@ -16,3 +16,15 @@
 	}
 	return time.Duration(boot.Nano() - mono.Nano())
 }
+
+// processStart is the origin of Elapsed.
+var processStart = time.Now()
+
+// Elapsed returns the time on a clock that goes on while the process is frozen or the machine
+// suspended. Its origin is the same for the life of the process and has no meaning. The time is
+// one between the call's beginning and its end.
+func Elapsed() time.Duration {
+	// The monotonic clock is read first: a freeze between the two readings then counts once.
+	mono := time.Since(processStart)
+	return mono + SuspendedTime()
+}
--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -27,6 +28,9 @@
 	// ConfigVersion is the version of the configuration, which the store confirmed at ConfigConfirmedAt.
 	ConfigVersion     uint64
 	ConfigConfirmedAt time.Time
+	// ConfigProof is the latest time of the store at which that configuration is proven to have
+	// been the newest one.
+	ConfigProof clock.Reading
 }
 
 // observationWaitFactor extends the pause before the next read after an observation. The
@@ -41,6 +45,11 @@
 func (w *Watcher) ApplyObservation(obs Observation) {
 	w.mu.Lock()
 	v := *w.view.Load()
+	proof := v.ConfigProof
+	w.prover.proveByObservation(&v, obs, w.timing.Elapsed())
+	if v.ConfigProof != proof {
+		w.view.Store(&v)
+	}
 	switch {
 	case !v.HasConfig:
 	case obs.ConfigVersion > v.Config.Version:
@@ -52,8 +61,9 @@
 	case obs.ConfigVersion == v.Config.Version:
 		w.observedConfigAt = time.Now()
 		if obs.ConfigConfirmedAt.After(v.ConfigConfirmedAt) {
-			v.ConfigConfirmedAt = obs.ConfigConfirmedAt
-			w.view.Store(&v)
+			confirmed := v
+			confirmed.ConfigConfirmedAt = obs.ConfigConfirmedAt
+			w.view.Store(&confirmed)
 		}
 	}
 	w.mu.Unlock()
@@ -117,9 +127,9 @@
 	defer cancel(nil)
 	w.mu.Lock()
 	w.restartConfigRead = func() { cancel(errReadRestarted) }
+	wait := w.prover.readWait(w.timing.ConfigWait, w.timing.Elapsed())
 	w.mu.Unlock()
-	wait := w.timing.ConfigWait
-	if version != 0 && w.timing.OwnReadInterval > wait && w.configObserved(time.Now()) {
+	if version != 0 && wait == w.timing.ConfigWait && w.timing.OwnReadInterval > wait && w.configObserved(time.Now()) {
 		wait = w.timing.OwnReadInterval
 		go func() {
 			for ctx.Err() == nil {
@@ -129,6 +139,14 @@
 				}
 			}
 		}()
+		go func() {
+			for w.timing.MaxProofAge > 0 && ctx.Err() == nil {
+				sleep(ctx, w.timing.EndpointPoll)
+				if w.configReadDue() {
+					cancel(errReadRestarted)
+				}
+			}
+		}()
 	}
 	ch, err := w.src.Config(ctx, version, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errReadRestarted) {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -9,7 +9,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -26,6 +28,8 @@
 	DecodeErrors []error
 	// Skipped has an error for each entry that is left out of Config because it can't be read.
 	Skipped []error
+	// Clock is the store's time at which the answer held.
+	Clock clock.Sample
 }
 
 // EndpointChange is the store's answer to a read of the endpoints.
@@ -37,6 +41,8 @@
 	Endpoints   []fleet.Endpoint
 	Gone        []string
 	InvalidRows []InvalidRow
+	// Clock is the store's time at which the answer held.
+	Clock clock.Sample
 }
 
 // InvalidRow is a registration that does not describe a usable endpoint.
@@ -66,6 +72,12 @@
 	// OwnReadInterval is the longest time between own reads of one kind while other processes'
 	// observations replace them; 0 means that observations never replace reads.
 	OwnReadInterval time.Duration
+	// MaxProofAge is the age of the proof that the configuration is the newest one at which it is
+	// read again although other processes confirm it; 0 means no limit.
+	MaxProofAge time.Duration
+	// Elapsed returns the local time on a clock that goes on while the process is frozen or the
+	// machine suspended; nil stands for lease.Elapsed.
+	Elapsed func() time.Duration
 }
 
 // View is the newest known content of the store. It is immutable.
@@ -75,7 +87,13 @@
 	// ConfigConfirmedAt and EndpointsConfirmedAt are when the store last confirmed each,
 	// to this process or to one whose observation matched.
 	ConfigConfirmedAt, EndpointsConfirmedAt time.Time
-	Endpoints                               map[string]fleet.Endpoint
+	// ConfigProof is the latest time of the store at which Config is proven to have been the newest
+	// configuration, and ConfigProvenAt that time, or an earlier one, on the local clock of
+	// Timing.Elapsed. They hold nothing unless ConfigProven is set.
+	ConfigProof    clock.Reading
+	ConfigProvenAt time.Duration
+	ConfigProven   bool
+	Endpoints      map[string]fleet.Endpoint
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
@@ -93,6 +111,8 @@
 
 	mu   sync.Mutex
 	view atomic.Pointer[View]
+	// prover is guarded by mu.
+	prover prover
 	// onChange is called after each successful read of the endpoints.
 	onChange func(*View)
 	// observations holds the newest observation that is not yet processed.
@@ -110,7 +130,10 @@
 // New returns a watcher with an empty view; onChange, which may be nil, is called after each
 // successful read of the endpoints.
 func New(src Source, timing Timing, onChange func(*View), log *logrus.Entry) *Watcher {
-	w := &Watcher{src: src, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{})}
+	if timing.Elapsed == nil {
+		timing.Elapsed = lease.Elapsed
+	}
+	w := &Watcher{src: src, prover: prover{quarantine: restoreQuarantine * timing.EndpointPoll}, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{})}
 	w.view.Store(&View{})
 	return w
 }
@@ -166,6 +189,7 @@
 		news := false
 		w.update(func(v *View) {
 			v.ConfigConfirmedAt = time.Now()
+			defer w.prover.proveByAnswer(v, ch.Clock, w.timing.Elapsed())
 			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
 				return
 			}
@@ -234,6 +258,7 @@
 		w.logChanges(before, reg.endpoints)
 		sum, models := endpointsDigest(reg.endpoints), modelsDigest(reg.endpoints)
 		v := w.update(func(v *View) {
+			w.prover.addSample(v, ch.Clock, w.timing.Elapsed())
 			v.Endpoints, v.EndpointsConfirmedAt, v.StoreVersion, v.EndpointsUncertain = reg.endpoints, reg.confirmedAt, version, reg.confirmedAt.Before(reg.graceUntil)
 			v.EndpointsDigest, v.ModelsDigest = sum, models
 		})
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -62,6 +62,9 @@
 	// orderDelay is the time that an order takes to reach a keeper; the planner stops that
 	// long before its lease ends.
 	orderDelay = 500 * time.Millisecond
+	// proofAgeShare is the part of the bound on removed keys after which the configuration is read
+	// although other gateways confirm it. The rest is left for the store's answer.
+	proofAgeShare = 0.7
 	// sweepInterval is the pause between evictions of idle connections and of what is kept for
 	// endpoints that are gone.
 	sweepInterval = time.Second
@@ -93,7 +96,11 @@
 		return nil, err
 	}
 	var plane *control.Plane
-	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, MaxRetryDelay: maxStoreRetryDelay, OwnReadInterval: ownReadInterval},
+	maxProofAge := time.Duration(0)
+	if cfg.Revocation.Strict {
+		maxProofAge = time.Duration(proofAgeShare * float64(cfg.Revocation.Bound))
+	}
+	w := watch.New(src, watch.Timing{MaxProofAge: maxProofAge, ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, MaxRetryDelay: maxStoreRetryDelay, OwnReadInterval: ownReadInterval},
 		func(v *watch.View) { plane.UpdateView(v) }, log)
 	plane, err := control.New(control.Settings{
 		GatewayID: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, ModelLoadWindow: cfg.ModelLoadLimit.Window, SubscribeInterval: subscribeInterval, DemandInterval: demandInterval,
@@ -103,6 +110,7 @@
 	}
 	g.handler = proxy.New(proxy.Settings{
 		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
+		Revocation:  proxy.Revocation{Strict: cfg.Revocation.Strict, Bound: cfg.Revocation.Bound},
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -182,6 +182,10 @@
 	// YieldedToken is the fencing token of a lease that the gateway yielded while the store
 	// didn't answer it, or 0 if it released the lease in the store.
 	YieldedToken uint64
+	// ConfigProofEra and ConfigProofTime are the latest time of the store at which the
+	// configuration is proven to have been the newest one; a time of 0 means none.
+	ConfigProofEra  uint64
+	ConfigProofTime time.Duration
 }
 
 func (*KeeperRequest) kind() byte { return 1 }
--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -50,7 +50,7 @@
 	if !isPlanner || !v.HasConfig || v.EndpointsUncertain {
 		return
 	}
-	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, Gateways: gateways, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt)}, now)
+	p.broadcast(&dgram.PlannerStatus{StoreVersion: v.StoreVersion, EndpointsDigest: v.EndpointsDigest, ModelsDigest: v.ModelsDigest, Gateways: gateways, ConfigVersion: v.Config.Version, ConfigConfirmedAge: now.Sub(v.ConfigConfirmedAt), ConfigProofEra: v.ConfigProof.Era, ConfigProofTime: v.ConfigProof.Time}, now)
 }
 
 // broadcast sends a message to all gateways that reported demand within demandTTL.
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -6,6 +6,7 @@
 
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/poison"
 )
@@ -106,6 +107,7 @@
 			p.observe(watch.Observation{
 				StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
 				ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
+				ConfigProof: clock.Reading{Era: m.ConfigProofEra, Time: m.ConfigProofTime},
 			})
 		}
 	}
--- a/internal/transport/proxy/authorize.go
+++ b/internal/transport/proxy/authorize.go
@@ -15,8 +15,29 @@
 	"chervilhead/internal/state/fleet"
 )
 
+// Revocation says how soon a key that a configuration removes must be refused everywhere.
+type Revocation struct {
+	// Strict is set if no gateway may run a request that was sent later than Bound after the store
+	// acknowledged a configuration that removed its key.
+	Strict bool
+	Bound  time.Duration
+}
+
+// revocationMargin is the part of Revocation.Bound for the rounding of the store's times, the
+// drift of the clocks and the time between the store's reading of rows and of its clock.
+const revocationMargin = 100 * time.Millisecond
+
+// proves reports whether a view's configuration is proven to be recent enough for a request that
+// arrived at a local time. It doesn't matter when the request is checked or sent on, because its
+// caller sent it before it arrived.
+func (r Revocation) proves(v *watch.View, arrived time.Duration) bool {
+	return !r.Strict || v.ConfigProven && v.ConfigProvenAt > arrived-r.Bound+revocationMargin
+}
+
 // access is how a request was authorized.
 type access struct {
+	// arrived is the local time of the request's arrival, or a later one.
+	arrived time.Duration
 	// grouped is set if the configuration names groups of callers.
 	grouped bool
 	// keyed is set if the request needs a key; key is the digest of its key.
@@ -39,6 +60,8 @@
 	refusedUnknown   = "key_unknown"
 	// refusedRevoked is answered 401 to a request whose key was removed while it waited.
 	refusedRevoked = "key_revoked"
+	// refusedUnconfirmed is answered 503: the configuration may have been replaced too long ago.
+	refusedUnconfirmed = "keys_unconfirmed"
 	// refusedStale is answered 503: the key isn't known, but a newer configuration may have it.
 	refusedStale = "key_unknown_stale"
 )
@@ -84,6 +107,14 @@
 		return true
 	}
 	c.access.keyed = true
+	if v.ConfigProven {
+		h.metrics.keys.proofAge.Observe((c.access.arrived - v.ConfigProvenAt).Seconds())
+	}
+	if !h.cfg.Revocation.proves(v, c.access.arrived) {
+		c.access.confirmedAge = h.confirmedAge(c, v)
+		h.rejectKey(c, refusedUnconfirmed)
+		return false
+	}
 	key, refusal := callerKey(c.in.Header, h.cfg.Headers.Key)
 	if refusal != "" {
 		h.refuseKey(c, v, refusal)
@@ -120,10 +151,20 @@
 	return false
 }
 
+// confirmedAge returns the age of the configuration's last confirmation. An answer that arrived
+// lately may have been sent long before, so the proof counts if there is one.
+func (h *Handler) confirmedAge(c *call, v *watch.View) time.Duration {
+	age := time.Since(v.ConfigConfirmedAt)
+	if v.ConfigProven {
+		age = max(age, c.access.arrived-v.ConfigProvenAt)
+	}
+	return age
+}
+
 // refuseKey answers a request without a valid key: 401 if the configuration was confirmed
 // recently, else 503, because a newer one may allow the request.
 func (h *Handler) refuseKey(c *call, v *watch.View, reason string) {
-	c.access.confirmedAge = time.Since(v.ConfigConfirmedAt)
+	c.access.confirmedAge = h.confirmedAge(c, v)
 	if c.access.confirmedAge > h.cfg.ConfigStaleAfter {
 		h.rejectKey(c, refusedStale)
 		return
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/budget"
@@ -62,6 +63,10 @@
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
 	// request without a route is then rejected with 503 rather than 404.
 	ConfigStaleAfter time.Duration
+	Revocation       Revocation
+	// Elapsed returns the local time on the clock of watch.View.ConfigProvenAt; nil stands for
+	// lease.Elapsed.
+	Elapsed func() time.Duration
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -83,6 +88,9 @@
 
 // New returns a handler that reads the configuration and endpoints from view.
 func New(cfg Settings, view func() *watch.View, control ControlPlane, pool *http1.Pool, metrics *Metrics, log *logrus.Entry) *Handler {
+	if cfg.Elapsed == nil {
+		cfg.Elapsed = lease.Elapsed
+	}
 	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
 }
 
@@ -117,6 +125,7 @@
 	}
 	h.tracker.retain(func(id string) bool { return known[id] })
 	h.pool.EvictIdle(time.Now(), func(key string) bool { return known[key] })
+	h.metrics.keys.observeView(h.view(), h.cfg.Elapsed())
 }
 
 // maxBodyBytes bounds the request bodies in memory to a fifth of a small host's memory. It is
@@ -192,7 +201,7 @@
 
 // ServeHTTP forwards one request and relays its response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	c := &call{id: in.Header.Get(h.cfg.Headers.RequestID), began: time.Now(), in: in, w: w}
+	c := &call{id: in.Header.Get(h.cfg.Headers.RequestID), began: time.Now(), in: in, w: w, access: access{arrived: h.cfg.Elapsed()}}
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
