--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -127,6 +127,7 @@
 	defer cancel(nil)
 	w.mu.Lock()
 	w.restartConfigRead = func() { cancel(errReadRestarted) }
+	w.configReadBegan = time.Now()
 	wait := w.prover.readWait(w.timing.ConfigWait, w.timing.Elapsed())
 	w.mu.Unlock()
 	if version != 0 && wait == w.timing.ConfigWait && w.timing.OwnReadInterval > wait && w.configObserved(time.Now()) {
--- a/internal/coordination/watch/proof.go
+++ b/internal/coordination/watch/proof.go
@@ -87,3 +87,16 @@
 	v := w.View()
 	return w.timing.MaxProofAge > 0 && v.ConfigProven && w.timing.Elapsed()-v.ConfigProvenAt > w.timing.MaxProofAge
 }
+
+// restartDueConfigRead starts the read of the configuration anew if the proof of it is old and the
+// read has been open for long: its connection may be dead, and the store answers other reads.
+func (w *Watcher) restartDueConfigRead() {
+	if !w.configReadDue() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.restartConfigRead != nil && time.Since(w.configReadBegan) > w.timing.ConfigWait/2 {
+		w.restartConfigRead()
+	}
+}
--- a/internal/coordination/watch/proof_test.go
+++ b/internal/coordination/watch/proof_test.go
@@ -244,16 +244,19 @@
 			return most
 		}
 		time.Sleep(100 * time.Millisecond)
-		lease := 4900 * time.Millisecond
-		for _, phase := range []struct {
-			name      string
-			d         time.Duration
-			announced bool
-		}{{"own reads", 20 * time.Second, false}, {"announcements", 40 * time.Second, true}, {"silent planner", 20 * time.Second, false}} {
-			if most := run(phase.d, phase.announced); most >= lease || !w.View().ConfigProven {
-				t.Errorf("%s: the proof was up to %v old", phase.name, most)
+		// A lease lasts 4.9 s, and a call of the store up to 0.7 s of it.
+		lease := (4900 - 700) * time.Millisecond
+		check := func(name string, most time.Duration) {
+			if most >= lease || !w.View().ConfigProven {
+				t.Errorf("%s: the proof was up to %v old", name, most)
 			}
 		}
+		check("own reads", run(20*time.Second, false))
+		// The planner falls silent at different times of its own poll and of the gateway's.
+		for i := range 12 {
+			check("announcements", run(20*time.Second+time.Duration(i)*350*time.Millisecond, true))
+			check("silent planner", run(10*time.Second, false))
+		}
 		own.mu.Lock()
 		own.away = true
 		own.mu.Unlock()
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -119,6 +119,8 @@
 	observations chan Observation
 	// restartConfigRead cancels the configuration read in progress.
 	restartConfigRead func()
+	// configReadBegan is when that read began.
+	configReadBegan time.Time
 	// restartedFor is the newest observed version that restarted the configuration read.
 	restartedFor uint64
 	// answered is closed, and replaced, each time the store answers a read of the endpoints.
@@ -244,6 +246,7 @@
 		}
 		failures = 0
 		w.announceAnswer()
+		w.restartDueConfigRead()
 		restores.record(version, ch.Version, ch.Full)
 		version = ch.Version
 		for _, r := range ch.InvalidRows {
--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -10,7 +10,7 @@
 	&KeeperRequest{Gateway: "g", Endpoint: "e", Incarnation: 7, EngineConfigHash: 9, UsedAdapters: []string{"m/a"}, WantedAdapters: []string{"m/b"}, Move: &Move{FencingToken: 1, ID: 2, Unload: []string{"x"}, Load: "y"}},
 	&EndpointState{Address: "10.0.0.1:1", Endpoint: "e", KeeperIncarnation: 3, MessageSequence: 4, Alive: true, Models: []Model{{Name: "m", Version: 1, Adapters: []string{"a"}}}, Gateways: 2},
 	&Demand{Gateway: "g", GatewayIncarnation: 1, MessageSequence: 2, Models: []ModelDemand{{Service: "s", Model: "m", OfferedLoad: 0.5, Waiting: 1}}},
-	&PlannerStatus{StoreVersion: 8, EndpointsDigest: 1 << 63, ConfigVersion: 3, ConfigConfirmedAge: time.Second, Resigned: true},
+	&PlannerStatus{StoreVersion: 8, EndpointsDigest: 1 << 63, ConfigVersion: 3, ConfigConfirmedAge: time.Second, Resigned: true, ConfigProofEra: 2, ConfigProofTime: time.Hour},
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -16,6 +16,7 @@
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -84,6 +85,7 @@
 	view := &watch.View{
 		HasConfig: true, Config: fleet.NewConfig(7, nil, nil, fleet.Limits{}), ConfigConfirmedAt: time.Now().Add(-time.Second),
 		EndpointsConfirmedAt: time.Now(), StoreVersion: 40, EndpointsDigest: 99,
+		ConfigProven: true, ConfigProof: clock.Reading{Era: 3, Time: time.Hour},
 	}
 	a := startTestGateway(t, "a", rows, view)
 	until(t, "the first gateway is the planner", a.plans)
@@ -101,7 +103,7 @@
 	if n := b.GatewayCount(); n != 2 {
 		t.Errorf("the second gateway counts %d gateways, want 2", n)
 	}
-	if got.StoreVersion != 40 || got.EndpointsDigest != 99 || got.ConfigVersion != 7 {
+	if got.StoreVersion != 40 || got.EndpointsDigest != 99 || got.ConfigVersion != 7 || got.ConfigProof != view.ConfigProof {
 		t.Errorf("got observation %+v", got)
 	}
 	if age := time.Since(got.ConfigConfirmedAt); age < time.Second || age > 3*time.Second {
--- a/internal/transport/proxy/authorize_test.go
+++ b/internal/transport/proxy/authorize_test.go
@@ -224,3 +224,28 @@
 		}
 	})
 }
+
+// TestWithoutGroups guards against a configuration without groups whose requests are served
+// otherwise than before: refused for a key, with another priority or with a group.
+func TestWithoutGroups(t *testing.T) {
+	e := startEndpoint(t, serveOK)
+	g := startGateway(t, fleet.Stream, false, e)
+	g.handler.cfg.Revocation = Revocation{Strict: true, Bound: 5 * time.Second}
+	var want http.Header
+	for _, header := range []map[string]string{nil, {"Api-Key": "any"}, {"Api-Key": "a b", "Test-Group": "forged"}} {
+		a, err := g.do(context.Background(), t, "POST", "/a/x", header, "p")
+		if err != nil || a.status != 200 {
+			t.Fatalf("header %v: response %+v, error %v", header, a, err)
+		}
+		e.mu.Lock()
+		got := e.lastRequest.Header.Clone()
+		e.mu.Unlock()
+		got.Del("Test-Deadline")
+		if want == nil {
+			want = got
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) || got.Get("Test-Priority") != "3" {
+			t.Errorf("header %v: the endpoint got %v, want %v", header, got, want)
+		}
+	}
+}
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -142,6 +142,7 @@
 
 type gateway struct {
 	*httptest.Server
+	handler       *Handler
 	view          atomic.Pointer[watch.View]
 	states        atomic.Pointer[[]fleet.State]
 	noAdapterSlot atomic.Bool
@@ -180,7 +181,7 @@
 	h := New(Settings{
 		Headers: testHeaders, FailureDomain: "z", Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Second, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	}, g.view.Load, fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, notice.NewLeavers(), &g.keepersAbsent}, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
-	g.Server = httptest.NewServer(h)
+	g.handler, g.Server = h, httptest.NewServer(h)
 	t.Cleanup(g.Close)
 	return g
 }
