--- a/internal/coordination/watch/proof_test.go
+++ b/internal/coordination/watch/proof_test.go
@@ -108,36 +108,6 @@
 	})
 }
 
-// TestProofsArePrompt guards against a lease that ends although the store answers, or although
-// the planner announces its proofs.
-func TestProofsArePrompt(t *testing.T) {
-	m := &proofModel{localOffset: time.Minute, storeOffset: time.Hour, p: prover{quarantine: 1200 * time.Millisecond}}
-	m.configure()
-	m.v.Config, m.v.HasConfig = fleet.NewConfig(1, nil, nil, fleet.Limits{}), true
-	answer := func() { m.p.proveByAnswer(&m.v, clock.Sample{Reading: m.reading(), Began: m.local()}, m.local()) }
-	age := func() time.Duration { return m.local() - m.v.ConfigProvenAt }
-	answer()
-	if !m.v.ConfigProven || age() > proofTolerance {
-		t.Fatalf("the first answer proves %v, %v old", m.v.ConfigProven, age())
-	}
-	m.now += 15 * time.Second
-	m.p.proveByObservation(&m.v, Observation{ConfigVersion: 1, ConfigProof: m.reading()}, m.local())
-	if age() > proofTolerance {
-		t.Errorf("the proof is %v old after an announcement", age())
-	}
-	m.era++
-	m.now += time.Second
-	answer()
-	if age() < time.Second {
-		t.Error("the first answer after a restore proves the configuration")
-	}
-	m.now += 1200 * time.Millisecond
-	answer()
-	if age() > proofTolerance {
-		t.Errorf("the proof is %v old after the quarantine", age())
-	}
-}
-
 // TestNewerConfigLostInRestore guards against a gateway that learned its configuration from a
 // restored store, with a key that a lost configuration had removed.
 func TestNewerConfigLostInRestore(t *testing.T) {
