proxy: a revoked request that runs fails its test without a panic

Cause: a second request at the endpoint closed a channel twice. Change: the channel is closed once; the checks are the same. Result: with the second check of keys taken out the test reports the statuses; proxy, watch, lease and clock pass with -race.

--- a/internal/transport/proxy/authorize_test.go
+++ b/internal/transport/proxy/authorize_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,8 +145,9 @@
 // and a running one that ends with its key.
 func TestKeyRevokedDuringWait(t *testing.T) {
 	began, finish := make(chan struct{}), make(chan struct{})
+	begin := sync.OnceFunc(func() { close(began) })
 	e := startEndpoint(t, func(r *http.Request, body string, c net.Conn) {
-		close(began)
+		begin()
 		<-finish
 		serveOK(r, body, c)
 	})
