--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/budget"
@@ -62,6 +63,10 @@
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
 	// request without a route is then rejected with 503 rather than 404.
 	ConfigStaleAfter time.Duration
+	Revocation       Revocation
+	// Elapsed returns the local time on the clock of watch.View.ConfigProvenAt; nil stands for
+	// lease.Elapsed.
+	Elapsed func() time.Duration
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -74,6 +79,8 @@
 	poisonTracker *poisonTracker
 	log           *logrus.Entry
 	metrics       *Metrics
+	// fingerprintKey is the key of the fingerprints of callers' keys.
+	fingerprintKey []byte
 
 	draining  atomic.Bool
 	bodyBytes atomic.Int64
@@ -81,7 +88,10 @@
 
 // New returns a handler that reads the configuration and endpoints from view.
 func New(cfg Settings, view func() *watch.View, control ControlPlane, pool *http1.Pool, metrics *Metrics, log *logrus.Entry) *Handler {
-	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics}
+	if cfg.Elapsed == nil {
+		cfg.Elapsed = lease.Elapsed
+	}
+	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
 }
 
 // draw returns a random number in [0, 1).
@@ -115,6 +125,7 @@
 	}
 	h.tracker.retain(func(id string) bool { return known[id] })
 	h.pool.EvictIdle(time.Now(), func(key string) bool { return known[key] })
+	h.metrics.keys.observeView(h.view(), h.cfg.Elapsed())
 }
 
 // maxBodyBytes bounds the request bodies in memory to a fifth of a small host's memory. It is
@@ -126,10 +137,14 @@
 	id    string
 	began time.Time
 	route fleet.Route
-	req   pick.Request
-	body  []byte
-	in    *http.Request
-	w     http.ResponseWriter
+	// group is the group of the caller's key; it has no name if the request needs no key.
+	group fleet.Group
+	// access is how the request was authorized.
+	access access
+	req    pick.Request
+	body   []byte
+	in     *http.Request
+	w      http.ResponseWriter
 	// ctx ends when the client leaves, at its deadline or at the route's timeout.
 	ctx context.Context
 	// deadline is when ctx ends; it is zero until the body has been read.
@@ -186,7 +201,7 @@
 
 // ServeHTTP forwards one request and relays its response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	c := &call{id: in.Header.Get(h.cfg.Headers.RequestID), began: time.Now(), in: in, w: w}
+	c := &call{id: in.Header.Get(h.cfg.Headers.RequestID), began: time.Now(), in: in, w: w, access: access{arrived: h.cfg.Elapsed()}}
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -207,6 +222,9 @@
 		return
 	}
 	c.route, c.configVersion = route, v.Config.Version
+	if !h.authorize(c, v) {
+		return
+	}
 	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
 	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
 	service, ok := v.Config.Service(route.PickService(h.draw()))
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -30,7 +30,7 @@
 var testHeaders = HeaderNames{
 	RequestID: "Test-Request", Deadline: "Test-Deadline", Model: "Test-Model", TokenCounts: "Test-Tokens", PromptPrefix: "Test-Prompt",
 	LengthHint: "Test-Length", Signature: "Test-Signature", NotRun: "Test-Not-Run", ExpectInstance: "Test-Instance", InstanceID: "Test-Self",
-	RateLimit: "Test-Limit", Leaving: "Test-Leaving", Priority: "Test-Priority", LastEventID: "Last-Event-Id", Reserved: []string{"Test-Instance", "Test-Priority", "Test-Hold"},
+	RateLimit: "Test-Limit", Leaving: "Test-Leaving", Priority: "Test-Priority", LastEventID: "Last-Event-Id", Key: "Api-Key", Group: "Test-Group", Reserved: []string{"Test-Instance", "Test-Priority", "Test-Hold"},
 }
 
 // serveFunc handles a request as an endpoint, on the connection on which it came.
@@ -142,6 +142,7 @@
 
 type gateway struct {
 	*httptest.Server
+	handler       *Handler
 	view          atomic.Pointer[watch.View]
 	states        atomic.Pointer[[]fleet.State]
 	noAdapterSlot atomic.Bool
@@ -180,7 +181,7 @@
 	h := New(Settings{
 		Headers: testHeaders, FailureDomain: "z", Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Second, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 	}, g.view.Load, fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, notice.NewLeavers(), &g.keepersAbsent}, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
-	g.Server = httptest.NewServer(h)
+	g.handler, g.Server = h, httptest.NewServer(h)
 	t.Cleanup(g.Close)
 	return g
 }
