ramp, pick: windows for endpoints that have just started or recovered

An endpoint that nobody has used yet is the cheapest for all gateways at once, and one that failed stays idle for some ten seconds because of the cost of its failures. Package ramp keeps a limit on a gateway's requests in flight at such an endpoint, from the responses. pick.BestInWindow leaves out endpoints whose window is full, unless no other one serves the request in time, and a forgiven endpoint's failures add no cost. Nothing calls them yet.

TestBestInWindow compares the choices without windows.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -81,6 +81,12 @@
 	RateWait time.Duration
 	// PauseLeft is what is left of the pause that the endpoint asked this gateway for.
 	PauseLeft time.Duration
+	// WindowFull is set when the endpoint has just started or recovered and this gateway has as
+	// many requests in flight there as it may (package ramp).
+	WindowFull bool
+	// Forgiven is set when the endpoint's failures lie before its window, which bounds what
+	// further ones cost. They then add no cost, so that an endpoint that recovers isn't idle.
+	Forgiven bool
 }
 
 // LatencyModel holds the parameters of the latency estimates.
@@ -184,12 +190,18 @@
 // Best returns the endpoint of the least cost for a request, or false if none can take it.
 // draw returns a random number in [0, 1).
 func Best(req Request, list []Candidate, m LatencyModel, now time.Time, adapterSlots int, draw func() float64) (Choice, bool) {
+	return bestOf(req, list, m, now, adapterSlots, draw, func(Candidate) bool { return true })
+}
+
+// bestOf is Best among the candidates for which may is true. The others count for the home, so
+// that the home doesn't change for a short time.
+func bestOf(req Request, list []Candidate, m LatencyModel, now time.Time, adapterSlots int, draw func() float64, may func(Candidate) bool) (Choice, bool) {
 	var best Choice
 	bestCost := time.Duration(0)
 	n := 0
 	home := Home(req, list)
 	for _, c := range list {
-		if !eligible(req, c, now) {
+		if !eligible(req, c, now) || !may(c) {
 			continue
 		}
 		n++
@@ -330,7 +342,10 @@
 
 // extraCost returns the cost of an endpoint beside its estimate.
 func extraCost(req Request, c Candidate, now time.Time) time.Duration {
-	cost := time.Duration(c.Health.FailureRate(now) * float64(failureCost))
+	cost := time.Duration(0)
+	if !c.Forgiven {
+		cost = time.Duration(c.Health.FailureRate(now) * float64(failureCost))
+	}
 	if c.State.FailureDomain != req.FailureDomain {
 		cost += crossDomainCost
 	}
--- /dev/null
+++ b/internal/state/pick/window_test.go
@@ -0,0 +1,39 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// TestBestInWindow guards against requests that a full window sends away although only its endpoint serves them in time, and against choices that change without windows.
+func TestBestInWindow(t *testing.T) {
+	inTime := func(ch Choice) bool { return ch.Estimate < time.Second }
+	full := candidate("a", func(c *Candidate) { c.WindowFull = true })
+	idle, busy := candidate("b", func(c *Candidate) { c.PrefillTokens = 2000 }), candidate("b", func(c *Candidate) { c.PrefillTokens = 200_000 })
+	for name, tc := range map[string]struct {
+		list []Candidate
+		want string
+	}{
+		"another endpoint is in time":     {[]Candidate{full, idle}, "b"},
+		"the other endpoint is too late":  {[]Candidate{full, busy}, "a"},
+		"no other endpoint has the model": {[]Candidate{full, candidate("b", func(c *Candidate) { c.State.Models = nil })}, "a"},
+	} {
+		if ch, ok := BestInWindow(request("m"), tc.list, latencyModel, testTime, 8, zeroDraw, inTime); !ok || ch.ID != tc.want {
+			t.Errorf("%s: %q was chosen, want %q", name, ch.ID, tc.want)
+		}
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 500 {
+		list := []Candidate{candidate("a", nil), candidate("b", nil), candidate("c", nil)}
+		for i := range list {
+			list[i].PrefillTokens, list[i].InFlight = rnd.IntN(9000), rnd.IntN(90)
+		}
+		req, draw := request([]string{"m", "m/x", ""}[rnd.IntN(3)]), rnd.Float64()
+		want, wantOK := Best(req, list, latencyModel, testTime, 8, func() float64 { return draw })
+		got, ok := BestInWindow(req, list, latencyModel, testTime, 8, func() float64 { return draw }, func(Choice) bool { return false })
+		if got != want || ok != wantOK {
+			t.Fatalf("without windows %+v was chosen, want %+v", got, want)
+		}
+	}
+}
