proxy, node, config: requests to endpoints that have just started are limited

With the setting ramp (off unless set), a gateway keeps a window for each endpoint incarnation that it first sees after its own start, or that fails, and leaves out endpoints whose window is full. The windows count requests from the choice on, so that requests that choose at the same moment don't all go to the same endpoint. Two log lines and two metrics show them. Without the setting the tracker has no windows and pick.BestInWindow is pick.Best.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -18,7 +18,9 @@
 	ModelLoadLimit ModelLoadLimit `yaml:"loads"`
 	Shutdown       Shutdown       `yaml:"leave"`
 	Resources      ResourceLimits `yaml:"resources"`
-	LogLevel       string         `yaml:"log_level"`
+	// Ramp limits the requests to endpoints that have just started or recovered.
+	Ramp     bool   `yaml:"ramp"`
+	LogLevel string `yaml:"log_level"`
 }
 
 // GatewayListen holds the addresses that a gateway listens on.
--- a/internal/config/gateway_test.go
+++ b/internal/config/gateway_test.go
@@ -53,6 +53,20 @@
 	}
 }
 
+// TestRampSetting guards against limits for endpoints that have just started where the settings don't ask for them.
+func TestRampSetting(t *testing.T) {
+	base := strings.ReplaceAll(render(t, "gateway.yaml.tmpl"), "ramp: true\n", "")
+	for text, want := range map[string]bool{"": false, "ramp: false\n": false, "ramp: true\n": true} {
+		s, err := Parse("gateway", []byte(base+text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.(*Gateway).Ramp; got != want {
+			t.Errorf("%q: %t, want %t", text, got, want)
+		}
+	}
+}
+
 func TestGatewayProblems(t *testing.T) {
 	good := render(t, "gateway.yaml.tmpl")
 	for field, change := range map[string][2]string{
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -104,6 +104,7 @@
 	g.handler = proxy.New(proxy.Settings{
 		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
+		Ramp:        cfg.Ramp,
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
--- a/internal/state/ramp/event.go
+++ b/internal/state/ramp/event.go
@@ -13,12 +13,16 @@
 	Response struct{ Latency, Estimate time.Duration }
 	// Failure means that a request failed or that no connection could be opened.
 	Failure struct{}
+	// Abandoned means that a request ended before a response, at its deadline or because its
+	// caller left.
+	Abandoned struct{ Waited, Estimate time.Duration }
 	// TurnedAway means that the endpoint didn't run a request.
 	TurnedAway struct{}
 )
 
 func (Response) event()   {}
 func (Failure) event()    {}
+func (Abandoned) event()  {}
 func (TurnedAway) event() {}
 
 // With returns the window after an event, with a number of this gateway's requests in flight.
@@ -32,6 +36,10 @@
 		}
 		w.failed = true
 		return w.shrunk(inFlight, now)
+	case Abandoned:
+		if e.Estimate > 0 && e.Waited > scaled(e.Estimate, lateRatio) && now.Add(-e.Waited).After(w.shrunkAt) {
+			return w.shrunk(inFlight, now)
+		}
 	case TurnedAway:
 		return w.shrunk(inFlight, now)
 	}
--- a/internal/state/ramp/ramp.go
+++ b/internal/state/ramp/ramp.go
@@ -86,6 +86,8 @@
 	Unused Reason = "unused"
 	// Failing means that the endpoint no longer responds, so that it gets single requests.
 	Failing Reason = "failing"
+	// Gone means that the endpoint is no longer registered.
+	Gone Reason = "gone"
 )
 
 // Window limits one gateway's requests in flight at one endpoint incarnation. It is immutable,
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -11,6 +11,7 @@
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/ramp"
 	"chervilhead/internal/state/replica"
 )
 
@@ -78,6 +79,7 @@
 		h.rejectPoison(c)
 		return
 	}
+	defer c.releaseWindow()
 	var last attemptFailed
 	for c.attempts < maxAttempts && time.Until(c.deadline) >= minTimeLeft && c.ctx.Err() == nil {
 		var e fleet.Endpoint
@@ -153,6 +155,7 @@
 // choose selects the endpoint for the next attempt; without one it waits, rejects the request
 // or returns why no further attempt is made.
 func (h *Handler) choose(c *call, service fleet.Service) nextStep {
+	c.releaseWindow()
 	slots, adapterSlots := 0, 0
 	if service.Engine != nil {
 		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
@@ -167,7 +170,9 @@
 	if service.Engine != nil {
 		latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
 	}
-	ch, ok := pick.Best(c.req, candidates, latency, now, adapterSlots, h.draw)
+	ch, ok := pick.BestInWindow(c.req, candidates, latency, now, adapterSlots, h.draw, func(ch pick.Choice) bool {
+		return !h.tooLate(c, ch) && !waitsTooLong(c, ch)
+	})
 	switch {
 	case ok:
 	case len(c.noAdapterSlot) > 0 && h.awaitAdapterSlot(c):
@@ -196,17 +201,20 @@
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, ch.PrefillTokens, c.req.OutputTokens)
 	}
 	left := time.Until(c.deadline)
-	if ch.StartWait > 0 && time.Since(c.began)+ch.StartWait > maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout()) {
+	if waitsTooLong(c, ch) {
 		// Other gateways have shares of their own, and the planner may add a replica.
 		h.recordNoCapacity(c)
 		h.reject(c, "rate_limited", min(ch.StartWait, left/retryAfterDivisor))
 		return responded{}
 	}
-	if c.attempts == 0 && (ch.TimeToLastToken(c.req.OutputTokens) > left || h.exceedsIdleTimeout(c, ch)) {
+	if c.attempts == 0 && h.tooLate(c, ch) {
 		h.reject(c, "too_late", left/retryAfterDivisor)
 		return responded{}
 	}
 	chosen := candidateOf(candidates, ch.ID)
+	if !h.takeWindow(c, chosen, now) {
+		return chooseAgain{}
+	}
 	wait, ok := h.tracker.reserveRequest(chosen.State.Endpoint, gateways, ch.StartWait)
 	if !ok {
 		return chooseAgain{}
@@ -220,6 +228,18 @@
 	return dispatch{chosen.State, now.Add(max(wait, chosen.PauseLeft))}
 }
 
+// tooLate reports whether a choice can't serve the request before its deadline, or before its
+// client gives up.
+func (h *Handler) tooLate(c *call, ch pick.Choice) bool {
+	return ch.TimeToLastToken(c.req.OutputTokens) > time.Until(c.deadline) || h.exceedsIdleTimeout(c, ch)
+}
+
+// waitsTooLong reports whether the wait for the endpoint's rate limit or pause leaves too little
+// time for the response.
+func waitsTooLong(c *call, ch pick.Choice) bool {
+	return ch.StartWait > 0 && time.Since(c.began)+ch.StartWait > maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout())
+}
+
 // exceedsIdleTimeout reports whether the client would give up before the first event.
 func (h *Handler) exceedsIdleTimeout(c *call, ch pick.Choice) bool {
 	idleTimeout := c.route.ClientIdleTimeout()
@@ -412,6 +432,9 @@
 			h.tracker.recordConnectFailure(e)
 		} else {
 			h.tracker.recordResult(e, true)
+			if resp.Status != http.StatusMisdirectedRequest {
+				h.tracker.ramps.record(e, ramp.TurnedAway{}, time.Now())
+			}
 		}
 		if resp.Status == http.StatusServiceUnavailable {
 			// All slots are in use, which the latency estimate doesn't show.
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -62,6 +62,8 @@
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
 	// request without a route is then rejected with 503 rather than 404.
 	ConfigStaleAfter time.Duration
+	// Ramp limits the requests to endpoints that have just started or recovered.
+	Ramp bool
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -81,7 +83,11 @@
 
 // New returns a handler that reads the configuration and endpoints from view.
 func New(cfg Settings, view func() *watch.View, control ControlPlane, pool *http1.Pool, metrics *Metrics, log *logrus.Entry) *Handler {
-	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics}
+	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics}
+	if cfg.Ramp {
+		h.tracker.ramps = newRamps(cfg.GatewayID, h.tracker.start, metrics.ramp, log)
+	}
+	return h
 }
 
 // draw returns a random number in [0, 1).
@@ -108,6 +114,7 @@
 
 // Sweep drops the records and idle connections of endpoints that are gone.
 func (h *Handler) Sweep() {
+	h.tracker.ramps.sweep(h.view().Endpoints, time.Now())
 	known := map[string]bool{}
 	for id, e := range h.view().Endpoints {
 		known[id] = true
@@ -156,6 +163,8 @@
 	demandRecorded bool
 	// noCapacityRecorded is set once the planner was told that the request found no capacity.
 	noCapacityRecorded bool
+	// endWindow ends the request's count in the window of its endpoint, nil if it has none.
+	endWindow func()
 	// outcome says in the log and the metrics how the request ended.
 	outcome          string
 	status           int
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -17,6 +17,7 @@
 	notices          *prometheus.CounterVec
 	late             *prometheus.CounterVec
 	crashRecords     *prometheus.CounterVec
+	ramp             *rampMetrics
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -42,6 +43,7 @@
 			Name: "chervilhead_gateway_crash_records_total", Help: "News of requests that may crash endpoints, by source: this gateway's own attempts or records received from others.",
 		}, []string{"source"}),
 	}
+	m.ramp = newRampMetrics(reg)
 	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords)
 	return m
 }
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -13,6 +13,7 @@
 	"chervilhead/internal/state/notice"
 	"chervilhead/internal/state/pace"
 	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/ramp"
 )
 
 // maxCachedPrefixes bounds the prompt prefixes in the cache estimate of one endpoint.
@@ -32,6 +33,8 @@
 	statements    map[fleet.IncarnationID]*statements
 	// pauses are those that endpoints asked this gateway for.
 	pauses *notice.Pauses
+	// ramps is nil unless requests to endpoints that have just started are limited.
+	ramps *ramps
 }
 
 // endpointRecord is what is known of one endpoint incarnation.
@@ -124,6 +127,7 @@
 // endpoint's rate limit.
 func (t *tracker) candidates(states []fleet.State, slots int, req pick.Request, gateways int, connected func(e fleet.Endpoint) bool) []pick.Candidate {
 	now := time.Now()
+	t.ramps.observe(states, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]pick.Candidate, 0, len(states))
@@ -145,6 +149,7 @@
 			c.RateWait = said.pace.Wait(now, pace.NewShare(said.rateLimit.perSecond, gateways))
 		}
 		c.PauseLeft = t.pauses.Left(s.IncarnationID(), now)
+		c.WindowFull, c.Forgiven = t.ramps.consider(s, c.Slots, gateways, now)
 		if req.GapObjective > 0 {
 			_, c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
 		}
@@ -310,6 +315,9 @@
 	defer t.mu.Unlock()
 	r := t.endpoint(e)
 	r.health = r.health.WithResult(ok, time.Now())
+	if !ok {
+		t.ramps.record(e, ramp.Failure{}, time.Now())
+	}
 }
 
 func (t *tracker) recordConnectFailure(e fleet.Endpoint) {
@@ -317,6 +325,7 @@
 	defer t.mu.Unlock()
 	r := t.endpoint(e)
 	r.health = r.health.WithConnectFailure(time.Now())
+	t.ramps.record(e, ramp.Failure{}, time.Now())
 }
 
 // recordLatency records a measured time to the first token, or to a plain response.
@@ -325,6 +334,7 @@
 	defer t.mu.Unlock()
 	r := t.endpoint(e)
 	r.health = r.health.WithLatency(measured, ch.Estimate, time.Now())
+	t.ramps.record(e, ramp.Response{Latency: measured, Estimate: ch.Estimate}, time.Now())
 	m := t.serviceLatencyModel(req.Service)
 	if model := req.ModelName.Model; model != "" {
 		m.MeanPrefillTokens += int(meanWeight * float64(ch.PrefillTokens-m.MeanPrefillTokens))
