--- a/internal/state/ramp/play_test.go
+++ b/internal/state/ramp/play_test.go
@@ -261,6 +261,7 @@
 		{"a plain service that fails again", failsAgain, 6 * time.Second, gateways + 30, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			late, lateWithout := 0, 0
 			for seed := range uint64(4) {
 				got := tc.p.run(seed)
