proxy: looking at endpoints doesn't change their windows

The time left of a pause was computed from candidates, which opened windows and counted requests as excluded that were never sent. The choice now records that it considers the candidates in a step of its own.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -156,23 +156,12 @@
 // or returns why no further attempt is made.
 func (h *Handler) choose(c *call, service fleet.Service) nextStep {
 	c.releaseWindow()
-	slots, adapterSlots := 0, 0
-	if service.Engine != nil {
-		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
-	}
 	now := time.Now()
 	gateways := h.control.GatewayCount()
-	c.req.Gateways = gateways
-	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
-	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
-	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
-	latency := h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
-	if service.Engine != nil {
-		latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
-	}
-	ch, ok := pick.BestInWindow(c.req, candidates, latency, now, adapterSlots, h.draw, func(ch pick.Choice) bool {
-		return !h.tooLate(c, ch) && !waitsTooLong(c, ch)
-	})
+	opts := h.optionsFor(c, service, gateways, now)
+	candidates := opts.candidates
+	h.tracker.ramps.considered(candidates, gateways, now)
+	ch, ok := h.bestOf(c, opts, now)
 	switch {
 	case ok:
 	case len(c.noAdapterSlot) > 0 && h.awaitAdapterSlot(c):
--- a/internal/transport/proxy/ramp.go
+++ b/internal/transport/proxy/ramp.go
@@ -124,33 +124,51 @@
 	r.log.WithFields(fields).Info("requests to an endpoint are no longer limited")
 }
 
-// consider returns whether a candidate's window excludes it, and whether its failures lie before
-// the window.
-func (r *ramps) consider(s fleet.State, slots, gateways int, now time.Time) (full, forgiven bool) {
+// current returns the window of a candidate as it is now, and why it has ended if it has. The
+// caller holds mu.
+func (r *ramps) current(en *rampEntry, s fleet.State, size ramp.Size, now time.Time) (ramp.Window, ramp.Reason) {
+	w := en.window.WithSize(size)
+	if now.Before(en.startsUntil) && !w.Limiting() {
+		w = ramp.New(size, ramp.Place(r.gateway, s.ID), now)
+	}
+	if s.StatusSupersedes {
+		w = w.WithReport(size.Slots-s.Status.Running, s.Status.Waiting+s.Status.Prefilling, s.Status.ReceivedAt)
+	}
+	w, reason, _ := w.Ended(now)
+	return w, reason
+}
+
+// look returns whether a candidate's window excludes it, and whether its failures lie before the
+// window. It changes nothing.
+func (r *ramps) look(s fleet.State, slots, gateways int, now time.Time) (full, forgiven bool) {
 	if r == nil {
 		return false, false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	en := r.entry(s.Endpoint, false, now)
-	if slots > 0 {
-		en.size.Slots = slots
-	}
-	en.size.Gateways = gateways
-	w := en.window.WithSize(en.size)
-	if now.Before(en.startsUntil) && !w.Limiting() {
-		w = ramp.New(en.size, ramp.Place(r.gateway, s.ID), now)
-	}
-	en.startsUntil = time.Time{}
-	if s.StatusSupersedes {
-		w = w.WithReport(en.size.Slots-s.Status.Running, s.Status.Waiting+s.Status.Prefilling, s.Status.ReceivedAt)
+	w, _ := r.current(en, s, ramp.Size{Slots: slots, Gateways: gateways}, now)
+	return !w.Room(en.inFlight, now), w.Forgiven()
+}
+
+// considered records that a request considers the candidates: the windows of those that have just
+// started begin, and those that exclude the request are known to be limiting.
+func (r *ramps) considered(list []pick.Candidate, gateways int, now time.Time) {
+	if r == nil {
+		return
 	}
-	w, reason, _ := w.Ended(now)
-	if full = !w.Room(en.inFlight, now); full {
-		w = w.WithExcluded(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range list {
+		en := r.entry(c.State.Endpoint, false, now)
+		en.size = ramp.Size{Slots: c.Slots, Gateways: gateways}
+		w, reason := r.current(en, c.State, en.size, now)
+		en.startsUntil = time.Time{}
+		if c.WindowFull {
+			w = w.WithExcluded(now)
+		}
+		r.update(en, w, reason, now)
 	}
-	r.update(en, w, reason, now)
-	return full, w.Forgiven()
 }
 
 // take counts a request towards the window of the endpoint chosen for it. It fails if other
