pick, docs: reasons for and against the candidates

The command where has to say why each endpoint wasn't chosen, by the functions that decide for real requests. usable and eligible now return their reason, and Assess gives each candidate's reason, estimate and cost.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -205,18 +205,7 @@
 			continue
 		}
 		n++
-		var ch Choice
-		var cost time.Duration
-		if req.ModelName.Model == "" {
-			ch, cost = scorePlain(req, c, m, now)
-			// Gateways don't see each other's requests; the random term keeps them from
-			// choosing the same endpoint.
-			cost += time.Duration(draw() * float64(m.MeanServiceTime) / 4)
-		} else {
-			ch, cost = scoreEngine(req, c, m, now, adapterSlots, home)
-		}
-		ch.StartWait = c.startWait()
-		cost += ch.StartWait
+		ch, cost := score(req, c, m, now, adapterSlots, home, draw)
 		if n == 1 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
@@ -225,6 +214,22 @@
 	return best, n > 0
 }
 
+// score returns the choice of a candidate with its cost.
+func score(req Request, c Candidate, m LatencyModel, now time.Time, adapterSlots int, home string, draw func() float64) (Choice, time.Duration) {
+	var ch Choice
+	var cost time.Duration
+	if req.ModelName.Model == "" {
+		ch, cost = scorePlain(req, c, m, now)
+		// Gateways don't see each other's requests; the random term keeps them from
+		// choosing the same endpoint.
+		cost += time.Duration(draw() * float64(m.MeanServiceTime) / 4)
+	} else {
+		ch, cost = scoreEngine(req, c, m, now, adapterSlots, home)
+	}
+	ch.StartWait = c.startWait()
+	return ch, cost + ch.StartWait
+}
+
 // startWait returns the time until the endpoint may get the request.
 func (c Candidate) startWait() time.Duration { return max(c.RateWait, c.PauseLeft) }
 
@@ -246,34 +251,12 @@
 
 // eligible reports whether an endpoint can take a request in time.
 func eligible(req Request, c Candidate, now time.Time) bool {
-	if c.PauseLeft > req.MaxPause || c.startWait() > 0 && len(req.Tried) > 0 {
-		// A retry has no time left to wait.
-		return false
-	}
-	return usable(req, c, now)
+	return exclusion(req, c, now) == Included
 }
 
 // usable reports whether an endpoint can take a request now or after a wait.
 func usable(req Request, c Candidate, now time.Time) bool {
-	if c.State.Leaving || c.State.Service != req.Service || !c.Health.Reachable(now) {
-		return false
-	}
-	for _, id := range req.Tried {
-		if id == c.State.ID {
-			return false
-		}
-	}
-	if c.State.StatusSupersedes && !c.State.Status.Alive && now.Sub(c.State.Status.ReceivedAt) < 2*reportHalfWeightAge {
-		return false
-	}
-	if c.State.KeeperSilent && c.Prefilling >= maxSilentPrefills {
-		return false
-	}
-	if req.ModelName.Model == "" {
-		return true
-	}
-	modelHeld, nameHeld := fleet.Holds(c.State.Residents(), req.ModelName)
-	return nameHeld || modelHeld && !req.HeldOnly
+	return unusable(req, c, now) == Included
 }
 
 func scorePlain(req Request, c Candidate, m LatencyModel, now time.Time) (Choice, time.Duration) {
--- a/internal/state/pick/window_test.go
+++ b/internal/state/pick/window_test.go
@@ -37,3 +37,28 @@
 		}
 	}
 }
+
+// TestAssess guards against reasons that differ from the choice: an endpoint that is excluded but chosen, or a cheaper one that isn't.
+func TestAssess(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(2, 1))
+	for range 500 {
+		list := []Candidate{candidate("a", nil), candidate("b", nil), candidate("c", nil)}
+		for i := range list {
+			c := &list[i]
+			c.PrefillTokens, c.InFlight, c.PauseLeft = rnd.IntN(9000), rnd.IntN(90), time.Duration(rnd.IntN(2))*time.Second
+			c.State.Leaving = rnd.IntN(3) == 0
+		}
+		req := request([]string{"m", "m/x", "", "n"}[rnd.IntN(4)])
+		ch, ok := Best(req, list, latencyModel, testTime, 8, func() float64 { return 0.5 })
+		want := ""
+		lowest := time.Duration(0)
+		for _, a := range Assess(req, list, latencyModel, testTime, 8) {
+			if a.Excluded == Included && (want == "" || a.Cost < lowest) {
+				want, lowest = a.Choice.ID, a.Cost
+			}
+		}
+		if ok != (want != "") || ch.ID != want {
+			t.Fatalf("%q is chosen, %q assessed as the best", ch.ID, want)
+		}
+	}
+}
