proxy, cmds: where a request would go now

Operators could see why a request went where it went, but not where the next one would go. chervilhead where asks a gateway's ready address, which answers with the endpoint, the reason against each other one and the ages of what it used, by the functions that decide for real requests, and sends nothing. The quota left and the lookup by a key's fingerprint wait for the parts on keys and quotas.

--- a/internal/cmds/root.go
+++ b/internal/cmds/root.go
@@ -21,7 +21,7 @@
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
 		return &ExitError{exitSettings, fmt.Errorf("%w; see %s --help", err, cmd.CommandPath())}
 	})
-	root.AddCommand(newDemo(), newVersion(), newEntry(), newAgent(), newGateway(), newKeeper(), newStandin(), newTable(), newCheck(), newLoad(), newMeasure(), newExplain(), newAccount(), newSoak())
+	root.AddCommand(newDemo(), newVersion(), newEntry(), newAgent(), newGateway(), newKeeper(), newStandin(), newTable(), newCheck(), newLoad(), newMeasure(), newExplain(), newWhere(), newAccount(), newSoak())
 	return root
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -112,6 +112,7 @@
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
+	r.Handle("/where", g.handler.WhereHandler())
 	if g.health, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
 		return fail(err)
 	}
