proxy, ramp: tests of windows hold responses instead of measuring times

TestEndpointStarts and TestEndpointRecovers failed under -race on a busy machine (load average 19): requests took 160 to 460 ms where expectStatus allows less, and a window ended later than the test looked. The endpoints now respond once all requests have arrived, and the end of a window by time is checked without a network (TestEnded).

--- a/internal/state/ramp/play_test.go
+++ b/internal/state/ramp/play_test.go
@@ -328,3 +328,30 @@
 		}
 	})
 }
+
+// TestEnded guards against windows that end early or never.
+func TestEnded(t *testing.T) {
+	start := time.Unix(1000, 0)
+	size := ramp.Size{Slots: 64, Gateways: 1}
+	inTime := ramp.Response{Latency: 10 * time.Millisecond, Estimate: 10 * time.Millisecond}
+	for _, tc := range []struct {
+		responses, inFlight int
+		after               time.Duration
+		want                ramp.Reason
+	}{
+		{0, 1, 9 * time.Second, ""},
+		{0, 1, 11 * time.Second, ramp.Unused},
+		{7, 1, 2 * time.Second, ""},
+		{8, 1, 500 * time.Millisecond, ""},
+		{8, 1, 2 * time.Second, ramp.NotLimiting},
+		{80, 64, 500 * time.Millisecond, ramp.AllSlots},
+	} {
+		w := ramp.New(size, 0, start)
+		for range tc.responses {
+			w = w.With(inTime, tc.inFlight, start)
+		}
+		if _, reason, _ := w.Ended(start.Add(tc.after)); reason != tc.want {
+			t.Errorf("after %d responses and %s: %q, want %q", tc.responses, tc.after, reason, tc.want)
+		}
+	}
+}
--- a/internal/transport/proxy/ramp_test.go
+++ b/internal/transport/proxy/ramp_test.go
@@ -15,80 +15,95 @@
 	"chervilhead/internal/state/fleet"
 )
 
-// rampGateway returns a gateway with windows whose start is over, and its log.
-func rampGateway(t *testing.T, kind fleet.RouteKind, on bool, endpoints ...*fakeEndpoint) (*gateway, *bytes.Buffer) {
+// rampGateway returns a gateway whose start is over, with windows if on is set, and its log. Its
+// requests have time enough on a busy machine.
+func rampGateway(t *testing.T, on bool, endpoints ...*fakeEndpoint) (*gateway, *Handler, *bytes.Buffer) {
 	t.Helper()
-	g := startGateway(t, kind, false, endpoints...)
+	g := startGateway(t, fleet.Idempotent, false, endpoints...)
+	v := *g.view.Load()
+	route, _ := v.Config.Route("test.example", "/a/x")
+	route.Timeout = 10 * time.Second
+	v.Config = fleet.NewConfig(1, []fleet.Route{route}, []fleet.Service{{Name: "s"}}, fleet.Limits{BodyBytes: 1 << 20})
+	g.view.Store(&v)
 	h := g.Config.Handler.(*Handler)
 	log, out := logrus.New(), &bytes.Buffer{}
 	log.SetOutput(out)
 	if on {
 		h.tracker.ramps = newRamps("g", time.Now().Add(-rampStartupTime), h.metrics.ramp, logrus.NewEntry(log))
 	}
-	return g, out
-}
-
-// serveAfter returns an endpoint's function that answers after a time and keeps the highest number
-// of requests that it had at once.
-func serveAfter(d time.Duration, most *atomic.Int64) serveFunc {
-	var now atomic.Int64
-	return func(r *http.Request, body string, c net.Conn) {
-		if n := now.Add(1); n > most.Load() {
-			most.Store(n)
-		}
-		time.Sleep(d)
-		now.Add(-1)
-		serveOK(r, body, c)
-	}
+	return g, h, out
 }
 
+// send sends requests at the same time, all of which have to be answered.
 func send(t *testing.T, g *gateway, n int) {
+	t.Helper()
 	var wg sync.WaitGroup
 	for range n {
-		wg.Go(func() { expectStatus(t, g, http.StatusOK) })
+		wg.Go(func() {
+			if res, err := g.do(t.Context(), t, "POST", "/a/x", nil, ""); err != nil || res.status != http.StatusOK {
+				t.Errorf("status %d, error %v", res.status, err)
+			}
+		})
 	}
 	wg.Wait()
 }
 
 // TestEndpointStarts guards against an endpoint that starts and gets all requests at once, against one that gets none, and against windows where the setting is off.
 func TestEndpointStarts(t *testing.T) {
+	const n = 6
 	for name, tc := range map[string]struct {
 		on, alone, known bool
-		// min and max bound the requests that the endpoint gets at once, of six.
+		// min and max bound the requests that reach the endpoint before it has responded.
 		min, max int64
 	}{
 		"windows":               {on: true, min: 1, max: 1},
-		"the only endpoint":     {on: true, alone: true, min: 6, max: 6},
-		"known from the start":  {on: true, known: true, min: 2, max: 6},
-		"the setting isn't set": {min: 2, max: 6},
+		"the only endpoint":     {on: true, alone: true, min: n, max: n},
+		"known from the start":  {on: true, known: true, min: 2, max: n},
+		"the setting isn't set": {min: 2, max: n},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var most, otherMost atomic.Int64
-			started, other := startEndpoint(t, serveAfter(60*time.Millisecond, &most)), startEndpoint(t, serveAfter(60*time.Millisecond, &otherMost))
-			g, log := rampGateway(t, fleet.Idempotent, tc.on, started, other)
+			// Nobody responds until all requests have arrived.
+			arrived, hold := make(chan struct{}, 2*n), make(chan struct{})
+			var holds atomic.Bool
+			serve := func(r *http.Request, body string, c net.Conn) {
+				if holds.Load() {
+					arrived <- struct{}{}
+					<-hold
+				}
+				serveOK(r, body, c)
+			}
+			started, other := startEndpoint(t, serve), startEndpoint(t, serve)
+			g, h, log := rampGateway(t, tc.on, started, other)
 			all := *g.states.Load()
 			if !tc.known {
 				before := all[1:]
 				g.states.Store(&before)
-				send(t, g, 1)
 			}
+			send(t, g, 1)
 			if tc.alone {
 				all = all[:1]
 			}
 			g.states.Store(&all)
-			send(t, g, 6)
-			if n := most.Load(); n < tc.min || n > tc.max {
-				t.Errorf("%d requests at once, want %d to %d", n, tc.min, tc.max)
+			before := started.requests.Load()
+			holds.Store(true)
+			go func() {
+				for range n {
+					<-arrived
+				}
+				close(hold)
+			}()
+			send(t, g, n)
+			if k := started.requests.Load() - before; k < tc.min || k > tc.max {
+				t.Errorf("%d requests reached the endpoint, want %d to %d", k, tc.min, tc.max)
 			}
-			want := 0
+			v := *g.view.Load()
+			v.Endpoints = map[string]fleet.Endpoint{}
+			g.view.Store(&v)
+			h.Sweep()
+			begun, ended, want := strings.Count(log.String(), "are limited until"), strings.Count(log.String(), "no longer limited"), 0
 			if tc.on && !tc.known {
 				want = 1
-				// The window ends after a second in which it excludes none.
-				for range 30 {
-					send(t, g, 1)
-				}
 			}
-			begun, ended := strings.Count(log.String(), "are limited until"), strings.Count(log.String(), "no longer limited")
 			if begun != want || ended != want {
 				t.Errorf("%d lines of a beginning and %d of an end, want %d:\n%s", begun, ended, want, log)
 			}
@@ -96,34 +111,38 @@
 	}
 }
 
-// TestEndpointRecovers guards against an endpoint that gets all waiting requests after its failures, or none for seconds.
+// TestEndpointRecovers guards against an endpoint that gets several requests before it responds again, or none for seconds.
 func TestEndpointRecovers(t *testing.T) {
 	var fails atomic.Bool
-	var most, otherMost atomic.Int64
-	serve := serveAfter(30*time.Millisecond, &most)
+	var now, most atomic.Int64
+	slow := func(r *http.Request, body string, c net.Conn) {
+		time.Sleep(100 * time.Millisecond)
+		serveOK(r, body, c)
+	}
 	e, other := startEndpoint(t, func(r *http.Request, body string, c net.Conn) {
 		if fails.Load() {
 			closeConnection(r, body, c)
 			return
 		}
-		serve(r, body, c)
-	}), startEndpoint(t, serveAfter(30*time.Millisecond, &otherMost))
-	g, log := rampGateway(t, fleet.Idempotent, true, e, other)
+		most.Store(max(most.Load(), now.Add(1)))
+		slow(r, body, c)
+		now.Add(-1)
+	}), startEndpoint(t, slow)
+	g, _, log := rampGateway(t, true, e, other)
 	send(t, g, 1)
 	fails.Store(true)
 	send(t, g, 4)
 	fails.Store(false)
-	most.Store(0)
-	failed := e.requests.Load()
-	send(t, g, 4)
-	if n := e.requests.Load() - failed; n != 0 {
-		t.Errorf("%d requests reached the endpoint at once after it failed", n)
+	if e.requests.Load() < 2 {
+		t.Fatal("no request reached the endpoint while it failed")
 	}
+	failed := e.requests.Load()
+	most.Store(0)
 	// Probes are 0.25 s apart with one gateway.
-	for deadline := time.Now().Add(2 * time.Second); e.requests.Load() == failed && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(5 * time.Second); e.requests.Load() == failed && time.Now().Before(deadline); {
 		send(t, g, 4)
 	}
 	if n := most.Load(); n != 1 || !strings.Contains(log.String(), "cause=recovered") {
-		t.Errorf("%d requests at once in the probe; log:\n%s", n, log)
+		t.Errorf("%d requests at once before the endpoint responded; log:\n%s", n, log)
 	}
 }
