pick, ramp, proxy: only requests that may be repeated probe a failing endpoint

A probe of an endpoint that has not responded since it failed is a caller's request. One that may not be repeated, or is a retry already, would be lost with it, so the cost of failures stays for these until the endpoint has responded.

TestProbe fails without the condition.

--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -36,6 +36,8 @@
 	MaxPause time.Duration
 	// HeldOnly excludes endpoints that would have to load the adapter first.
 	HeldOnly bool
+	// Repeatable is set when the request may be sent again after it may have run.
+	Repeatable bool
 	// Tried are the IDs of endpoints that are excluded because of an earlier attempt.
 	Tried []string
 }
@@ -87,6 +89,14 @@
 	// Forgiven is set when the endpoint's failures lie before its window, which bounds what
 	// further ones cost. They then add no cost, so that an endpoint that recovers isn't idle.
 	Forgiven bool
+	// Probing is set when it has not responded since its last failure.
+	Probing bool
+}
+
+// forgives reports whether a candidate's failures add no cost. An endpoint that has not responded
+// yet may fail the request too, which another attempt then has to serve.
+func (r Request) forgives(c Candidate) bool {
+	return c.Forgiven && (!c.Probing || r.Repeatable && len(r.Tried) == 0)
 }
 
 // LatencyModel holds the parameters of the latency estimates.
@@ -326,7 +336,7 @@
 // extraCost returns the cost of an endpoint beside its estimate.
 func extraCost(req Request, c Candidate, now time.Time) time.Duration {
 	cost := time.Duration(0)
-	if !c.Forgiven {
+	if !req.forgives(c) {
 		cost = time.Duration(c.Health.FailureRate(now) * float64(failureCost))
 	}
 	if c.State.FailureDomain != req.FailureDomain {
--- a/internal/state/pick/window_test.go
+++ b/internal/state/pick/window_test.go
@@ -62,3 +62,28 @@
 		}
 	}
 }
+
+// TestProbe guards against requests that are lost because they go to an endpoint that has not responded since it failed.
+func TestProbe(t *testing.T) {
+	failed := candidate("a", func(c *Candidate) {
+		c.Health, c.Forgiven, c.Probing = c.Health.WithResult(false, testTime), true, true
+	})
+	list := []Candidate{failed, candidate("b", func(c *Candidate) { c.PrefillTokens = 2000 })}
+	for _, tc := range []struct {
+		repeatable, responded bool
+		tried                 []string
+		want                  string
+	}{
+		{true, false, nil, "a"},
+		{false, false, nil, "b"},
+		{true, false, []string{"c"}, "b"},
+		{false, true, nil, "a"},
+	} {
+		req := request("m")
+		req.SharedParts, req.Repeatable, req.Tried = 0, tc.repeatable, tc.tried
+		list[0].Probing = !tc.responded
+		if ch, _ := Best(req, list, latencyModel, testTime, 8, zeroDraw); ch.ID != tc.want {
+			t.Errorf("%+v: %q was chosen", tc, ch.ID)
+		}
+	}
+}
--- a/internal/state/ramp/play_test.go
+++ b/internal/state/ramp/play_test.go
@@ -127,7 +127,7 @@
 		for ; next <= at; next += time.Duration(rnd.ExpFloat64() * float64(time.Second) / (p.perServer * float64(p.servers))) {
 			g := rnd.IntN(p.gateways)
 			tokens := 200 + int(rnd.ExpFloat64()*800)
-			req := pick.Request{Service: "s", Gateway: fmt.Sprint("g", g), Gateways: p.gateways}
+			req := pick.Request{Service: "s", Gateway: fmt.Sprint("g", g), Gateways: p.gateways, Repeatable: true}
 			if p.engine {
 				req.ModelName, req.Parts = fleet.ModelName{Model: "m"}, []pick.PromptPart{{Tokens: tokens}}
 			}
@@ -152,7 +152,7 @@
 					if c.WindowFull = v.window.Limiting() && !v.window.Room(v.inFlight, now); c.WindowFull {
 						v.window = v.window.WithExcluded(now)
 					}
-					c.Forgiven = v.window.Forgiven()
+					c.Forgiven, c.Probing = v.window.Forgiven(), v.window.Probing()
 					list = append(list, c)
 				}
 				ch, ok := pick.BestInWindow(req, list, m, now, 8, rnd.Float64, func(ch pick.Choice) bool { return ch.Estimate < 5*time.Second })
@@ -263,7 +263,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			late, lateWithout := 0, 0
-			for seed := range uint64(4) {
+			for seed := range uint64(8) {
 				got := tc.p.run(seed)
 				p := tc.p
 				p.noWindow = true
--- a/internal/state/ramp/ramp.go
+++ b/internal/state/ramp/ramp.go
@@ -198,6 +198,9 @@
 // not keep requests away.
 func (w Window) Forgiven() bool { return w.phase == probing || w.phase == open && !w.failed }
 
+// Probing reports whether the endpoint has not responded since its last failure.
+func (w Window) Probing() bool { return w.phase == probing }
+
 // WithSend returns the window after a request was sent.
 func (w Window) WithSend(now time.Time) Window {
 	if w.phase == probing {
--- a/internal/transport/proxy/options.go
+++ b/internal/transport/proxy/options.go
@@ -21,7 +21,7 @@
 	if service.Engine != nil {
 		slots, opts.adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
 	}
-	c.req.Gateways = gateways
+	c.req.Gateways, c.req.Repeatable = gateways, c.route.Repeatable()
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
 	opts.candidates = h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
--- a/internal/transport/proxy/ramp.go
+++ b/internal/transport/proxy/ramp.go
@@ -138,17 +138,16 @@
 	return w, reason
 }
 
-// look returns whether a candidate's window excludes it, and whether its failures lie before the
-// window. It changes nothing.
-func (r *ramps) look(s fleet.State, slots, gateways int, now time.Time) (full, forgiven bool) {
+// look sets what the window of a candidate says. It changes no window.
+func (r *ramps) look(c *pick.Candidate, gateways int, now time.Time) {
 	if r == nil {
-		return false, false
+		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	en := r.entry(s.Endpoint, false, now)
-	w, _ := r.current(en, s, ramp.Size{Slots: slots, Gateways: gateways}, now)
-	return !w.Room(en.inFlight, now), w.Forgiven()
+	en := r.entry(c.State.Endpoint, false, now)
+	w, _ := r.current(en, c.State, ramp.Size{Slots: c.Slots, Gateways: gateways}, now)
+	c.WindowFull, c.Forgiven, c.Probing = !w.Room(en.inFlight, now), w.Forgiven(), w.Probing()
 }
 
 // considered records that a request considers the candidates: the windows of those that have just
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -149,7 +149,7 @@
 			c.RateWait = said.pace.Wait(now, pace.NewShare(said.rateLimit.perSecond, gateways))
 		}
 		c.PauseLeft = t.pauses.Left(s.IncarnationID(), now)
-		c.WindowFull, c.Forgiven = t.ramps.look(s, c.Slots, gateways, now)
+		t.ramps.look(&c, gateways, now)
 		if req.GapObjective > 0 {
 			_, c.SentTokens = r.sentSince(now.Add(-req.GapObjective))
 		}
