--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -112,6 +112,7 @@
 		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
 		Revocation:  proxy.Revocation{Strict: cfg.Revocation.Strict, Bound: cfg.Revocation.Bound},
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
+		Ramp:        cfg.Ramp,
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
@@ -119,6 +120,7 @@
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
+	r.Handle("/where", g.handler.WhereHandler())
 	if g.health, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
 		return fail(err)
 	}
--- a/internal/state/pick/pick.go
+++ b/internal/state/pick/pick.go
@@ -36,6 +36,8 @@
 	MaxPause time.Duration
 	// HeldOnly excludes endpoints that would have to load the adapter first.
 	HeldOnly bool
+	// Repeatable is set when the request may be sent again after it may have run.
+	Repeatable bool
 	// Tried are the IDs of endpoints that are excluded because of an earlier attempt.
 	Tried []string
 }
@@ -81,6 +83,20 @@
 	RateWait time.Duration
 	// PauseLeft is what is left of the pause that the endpoint asked this gateway for.
 	PauseLeft time.Duration
+	// WindowFull is set when the endpoint has just started or recovered and this gateway has as
+	// many requests in flight there as it may (package ramp).
+	WindowFull bool
+	// Forgiven is set when the endpoint's failures lie before its window, which bounds what
+	// further ones cost. They then add no cost, so that an endpoint that recovers isn't idle.
+	Forgiven bool
+	// Probing is set when it has not responded since its last failure.
+	Probing bool
+}
+
+// forgives reports whether a candidate's failures add no cost. An endpoint that has not responded
+// yet may fail the request too, which another attempt then has to serve.
+func (r Request) forgives(c Candidate) bool {
+	return c.Forgiven && (!c.Probing || r.Repeatable && len(r.Tried) == 0)
 }
 
 // LatencyModel holds the parameters of the latency estimates.
@@ -184,27 +200,22 @@
 // Best returns the endpoint of the least cost for a request, or false if none can take it.
 // draw returns a random number in [0, 1).
 func Best(req Request, list []Candidate, m LatencyModel, now time.Time, adapterSlots int, draw func() float64) (Choice, bool) {
+	return bestOf(req, list, m, now, adapterSlots, draw, func(Candidate) bool { return true })
+}
+
+// bestOf is Best among the candidates for which may is true. The others count for the home, so
+// that the home doesn't change for a short time.
+func bestOf(req Request, list []Candidate, m LatencyModel, now time.Time, adapterSlots int, draw func() float64, may func(Candidate) bool) (Choice, bool) {
 	var best Choice
 	bestCost := time.Duration(0)
 	n := 0
 	home := Home(req, list)
 	for _, c := range list {
-		if !eligible(req, c, now) {
+		if !eligible(req, c, now) || !may(c) {
 			continue
 		}
 		n++
-		var ch Choice
-		var cost time.Duration
-		if req.ModelName.Model == "" {
-			ch, cost = scorePlain(req, c, m, now)
-			// Gateways don't see each other's requests; the random term keeps them from
-			// choosing the same endpoint.
-			cost += time.Duration(draw() * float64(m.MeanServiceTime) / 4)
-		} else {
-			ch, cost = scoreEngine(req, c, m, now, adapterSlots, home)
-		}
-		ch.StartWait = c.startWait()
-		cost += ch.StartWait
+		ch, cost := score(req, c, m, now, adapterSlots, home, draw)
 		if n == 1 || cost < bestCost {
 			best, bestCost = ch, cost
 		}
@@ -213,6 +224,22 @@
 	return best, n > 0
 }
 
+// score returns the choice of a candidate with its cost.
+func score(req Request, c Candidate, m LatencyModel, now time.Time, adapterSlots int, home string, draw func() float64) (Choice, time.Duration) {
+	var ch Choice
+	var cost time.Duration
+	if req.ModelName.Model == "" {
+		ch, cost = scorePlain(req, c, m, now)
+		// Gateways don't see each other's requests; the random term keeps them from
+		// choosing the same endpoint.
+		cost += time.Duration(draw() * float64(m.MeanServiceTime) / 4)
+	} else {
+		ch, cost = scoreEngine(req, c, m, now, adapterSlots, home)
+	}
+	ch.StartWait = c.startWait()
+	return ch, cost + ch.StartWait
+}
+
 // startWait returns the time until the endpoint may get the request.
 func (c Candidate) startWait() time.Duration { return max(c.RateWait, c.PauseLeft) }
 
@@ -234,34 +261,12 @@
 
 // eligible reports whether an endpoint can take a request in time.
 func eligible(req Request, c Candidate, now time.Time) bool {
-	if c.PauseLeft > req.MaxPause || c.startWait() > 0 && len(req.Tried) > 0 {
-		// A retry has no time left to wait.
-		return false
-	}
-	return usable(req, c, now)
+	return exclusion(req, c, now) == Included
 }
 
 // usable reports whether an endpoint can take a request now or after a wait.
 func usable(req Request, c Candidate, now time.Time) bool {
-	if c.State.Leaving || c.State.Service != req.Service || !c.Health.Reachable(now) {
-		return false
-	}
-	for _, id := range req.Tried {
-		if id == c.State.ID {
-			return false
-		}
-	}
-	if c.State.StatusSupersedes && !c.State.Status.Alive && now.Sub(c.State.Status.ReceivedAt) < 2*reportHalfWeightAge {
-		return false
-	}
-	if c.State.KeeperSilent && c.Prefilling >= maxSilentPrefills {
-		return false
-	}
-	if req.ModelName.Model == "" {
-		return true
-	}
-	modelHeld, nameHeld := fleet.Holds(c.State.Residents(), req.ModelName)
-	return nameHeld || modelHeld && !req.HeldOnly
+	return unusable(req, c, now) == Included
 }
 
 func scorePlain(req Request, c Candidate, m LatencyModel, now time.Time) (Choice, time.Duration) {
@@ -330,7 +335,10 @@
 
 // extraCost returns the cost of an endpoint beside its estimate.
 func extraCost(req Request, c Candidate, now time.Time) time.Duration {
-	cost := time.Duration(c.Health.FailureRate(now) * float64(failureCost))
+	cost := time.Duration(0)
+	if !req.forgives(c) {
+		cost = time.Duration(c.Health.FailureRate(now) * float64(failureCost))
+	}
 	if c.State.FailureDomain != req.FailureDomain {
 		cost += crossDomainCost
 	}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -11,6 +11,7 @@
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/ramp"
 	"chervilhead/internal/state/replica"
 )
 
@@ -78,6 +79,7 @@
 		h.rejectPoison(c)
 		return
 	}
+	defer c.releaseWindow()
 	var last attemptFailed
 	for c.attempts < maxAttempts && time.Until(c.deadline) >= minTimeLeft && c.ctx.Err() == nil {
 		var e fleet.Endpoint
@@ -156,21 +158,13 @@
 // choose selects the endpoint for the next attempt; without one it waits, rejects the request
 // or returns why no further attempt is made.
 func (h *Handler) choose(c *call, service fleet.Service) nextStep {
-	slots, adapterSlots := 0, 0
-	if service.Engine != nil {
-		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
-	}
+	c.releaseWindow()
 	now := time.Now()
 	gateways := h.control.GatewayCount()
-	c.req.Gateways = gateways
-	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
-	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
-	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
-	latency := h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
-	if service.Engine != nil {
-		latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
-	}
-	ch, ok := pick.Best(c.req, candidates, latency, now, adapterSlots, h.draw)
+	opts := h.optionsFor(c, service, gateways, now)
+	candidates := opts.candidates
+	h.tracker.ramps.considered(candidates, gateways, now)
+	ch, ok := h.bestOf(c, opts, now)
 	switch {
 	case ok:
 	case len(c.noAdapterSlot) > 0 && h.awaitAdapterSlot(c):
@@ -199,17 +193,20 @@
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, ch.PrefillTokens, c.req.OutputTokens)
 	}
 	left := time.Until(c.deadline)
-	if ch.StartWait > 0 && time.Since(c.began)+ch.StartWait > maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout()) {
+	if waitsTooLong(c, ch) {
 		// Other gateways have shares of their own, and the planner may add a replica.
 		h.recordNoCapacity(c)
 		h.reject(c, "rate_limited", min(ch.StartWait, left/retryAfterDivisor))
 		return responded{}
 	}
-	if c.attempts == 0 && (ch.TimeToLastToken(c.req.OutputTokens) > left || h.exceedsIdleTimeout(c, ch)) {
+	if c.attempts == 0 && h.tooLate(c, ch) {
 		h.reject(c, "too_late", left/retryAfterDivisor)
 		return responded{}
 	}
 	chosen := candidateOf(candidates, ch.ID)
+	if !h.takeWindow(c, chosen, now) {
+		return chooseAgain{}
+	}
 	wait, ok := h.tracker.reserveRequest(chosen.State.Endpoint, gateways, ch.StartWait)
 	if !ok {
 		return chooseAgain{}
@@ -223,6 +220,18 @@
 	return dispatch{chosen.State, now.Add(max(wait, chosen.PauseLeft))}
 }
 
+// tooLate reports whether a choice can't serve the request before its deadline, or before its
+// client gives up.
+func (h *Handler) tooLate(c *call, ch pick.Choice) bool {
+	return ch.TimeToLastToken(c.req.OutputTokens) > time.Until(c.deadline) || h.exceedsIdleTimeout(c, ch)
+}
+
+// waitsTooLong reports whether the wait for the endpoint's rate limit or pause leaves too little
+// time for the response.
+func waitsTooLong(c *call, ch pick.Choice) bool {
+	return ch.StartWait > 0 && time.Since(c.began)+ch.StartWait > maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout())
+}
+
 // exceedsIdleTimeout reports whether the client would give up before the first event.
 func (h *Handler) exceedsIdleTimeout(c *call, ch pick.Choice) bool {
 	idleTimeout := c.route.ClientIdleTimeout()
@@ -418,6 +427,9 @@
 			h.tracker.recordConnectFailure(e)
 		} else {
 			h.tracker.recordResult(e, true)
+			if resp.Status != http.StatusMisdirectedRequest {
+				h.tracker.ramps.record(e, ramp.TurnedAway{}, time.Now())
+			}
 		}
 		if resp.Status == http.StatusServiceUnavailable {
 			// All slots are in use, which the latency estimate doesn't show.
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -67,6 +67,8 @@
 	// Elapsed returns the local time on the clock of watch.View.ConfigProvenAt; nil stands for
 	// lease.Elapsed.
 	Elapsed func() time.Duration
+	// Ramp limits the requests to endpoints that have just started or recovered.
+	Ramp bool
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -91,7 +93,11 @@
 	if cfg.Elapsed == nil {
 		cfg.Elapsed = lease.Elapsed
 	}
-	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
+	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
+	if cfg.Ramp {
+		h.tracker.ramps = newRamps(cfg.GatewayID, h.tracker.start, metrics.ramp, log)
+	}
+	return h
 }
 
 // draw returns a random number in [0, 1).
@@ -118,6 +124,7 @@
 
 // Sweep drops the records and idle connections of endpoints that are gone.
 func (h *Handler) Sweep() {
+	h.tracker.ramps.sweep(h.view().Endpoints, time.Now())
 	known := map[string]bool{}
 	for id, e := range h.view().Endpoints {
 		known[id] = true
@@ -171,6 +178,8 @@
 	demandRecorded bool
 	// noCapacityRecorded is set once the planner was told that the request found no capacity.
 	noCapacityRecorded bool
+	// endWindow ends the request's count in the window of its endpoint, nil if it has none.
+	endWindow func()
 	// outcome says in the log and the metrics how the request ended.
 	outcome          string
 	status           int
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -18,6 +18,7 @@
 	late             *prometheus.CounterVec
 	crashRecords     *prometheus.CounterVec
 	keys             keyMetrics
+	ramp             *rampMetrics
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -43,6 +44,7 @@
 			Name: "chervilhead_gateway_crash_records_total", Help: "News of requests that may crash endpoints, by source: this gateway's own attempts or records received from others.",
 		}, []string{"source"}),
 	}
+	m.ramp = newRampMetrics(reg)
 	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords)
 	m.keys = newKeyMetrics(reg)
 	return m
