--- a/internal/state/bucket/bucket.go
+++ b/internal/state/bucket/bucket.go
@@ -13,7 +13,9 @@
 type Bucket struct {
 	rate  float64
 	level float64
-	last  time.Time
+	// size is the capacity in units, or 0 for one burst at the rate.
+	size float64
+	last time.Time
 }
 
 // At returns the bucket refilled up to a time.
@@ -26,10 +28,30 @@
 }
 
 func (b Bucket) capacity() float64 {
-	if b.rate <= 0 {
+	switch {
+	case b.rate <= 0:
 		return 0
+	case b.size > 0:
+		return b.size
+	default:
+		return max(b.rate*burst.Seconds(), minCapacity)
 	}
-	return max(b.rate*burst.Seconds(), minCapacity)
+}
+
+// WithCapacity returns the bucket with a capacity in units, which doesn't depend on its rate.
+func (b Bucket) WithCapacity(units float64) Bucket {
+	b.size = units
+	b.level = min(b.level, b.capacity())
+	return b
+}
+
+// Level returns the units in the bucket at the time of its last change; a debt is negative.
+func (b Bucket) Level() float64 { return b.level }
+
+// Spend removes n units and leaves a debt if there are fewer.
+func (b Bucket) Spend(n float64) Bucket {
+	b.level -= n
+	return b
 }
 
 // WithRate returns the bucket with another rate, in units per second. Its level never rises
