--- a/internal/protocol/dgram/doc.go
+++ b/internal/protocol/dgram/doc.go
@@ -3,5 +3,5 @@
 // connection that can stall. A gateway sends a keeper requests (its subscription, wanted
 // adapters, a planner's move), and the keeper sends its subscribers endpoint state reports.
 // Gateways send the planner their demand, and the planner sends them what it read in the
-// store.
+// store. Gateways ask the planner for credit in the groups' quotas.
 package dgram
--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -11,6 +11,8 @@
 	&EndpointState{Address: "10.0.0.1:1", Endpoint: "e", KeeperIncarnation: 3, MessageSequence: 4, Alive: true, Models: []Model{{Name: "m", Version: 1, Adapters: []string{"a"}}}, Gateways: 2},
 	&Demand{Gateway: "g", GatewayIncarnation: 1, MessageSequence: 2, Models: []ModelDemand{{Service: "s", Model: "m", OfferedLoad: 0.5, Waiting: 1}}},
 	&PlannerStatus{StoreVersion: 8, EndpointsDigest: 1 << 63, ConfigVersion: 3, ConfigConfirmedAge: time.Second, Resigned: true},
+	&CreditRequest{Gateway: "g", GatewayIncarnation: 1, Sequence: 2, Groups: []GroupCredit{{Group: "a", Held: 1, Returned: 2, Need: 3, Least: 3, Ahead: 4, UsedPerSecond: 5}}},
+	&CreditGrant{Term: 1, GatewayIncarnation: 2, Sequence: 3, Groups: []GroupGrant{{Granted: 4, WaitMs: 5, AboveShare: true}}},
 }
 
 func TestRoundTrip(t *testing.T) {
