proxy: quotas of groups

A request of a group with a quota takes its cost before it is served, gets 429 with a Retry-After if the quota doesn't cover it, and 503 if the planner hasn't said what is left. A request that has not run gives its cost back. A group above its share gets the last priority at engines with requests waiting. Nothing changes without a quota.

--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -383,7 +383,7 @@
 	hd.Set(h.cfg.Headers.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	hd.Set(h.cfg.Headers.ExpectInstance, e.ID)
 	if c.req.ModelName.Model != "" {
-		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(priority(c.route)))
+		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(h.enginePriority(c, e, priority(c.route))))
 	}
 	if c.lastEventID != "" {
 		hd.Set(h.cfg.Headers.LastEventID, c.lastEventID)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -62,6 +62,8 @@
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
 	// request without a route is then rejected with 503 rather than 404.
 	ConfigStaleAfter time.Duration
+	// Quotas bounds what groups may use; nil bounds nothing.
+	Quotas Quotas
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -74,6 +76,7 @@
 	poisonTracker *poisonTracker
 	log           *logrus.Entry
 	metrics       *Metrics
+	quotaLog      quotaLog
 
 	draining  atomic.Bool
 	bodyBytes atomic.Int64
@@ -126,6 +129,8 @@
 	id    string
 	began time.Time
 	route fleet.Route
+	// group is the caller's group; it has no name if the configuration names none.
+	group fleet.Group
 	req   pick.Request
 	body  []byte
 	in    *http.Request
@@ -167,6 +172,10 @@
 	// the last complete event when it ended.
 	framing           string
 	partialEventBytes int
+	// quotaUnits is what the request took of its group's quota at quotaTakenAt, which is zero if
+	// it took nothing.
+	quotaUnits   float64
+	quotaTakenAt time.Time
 }
 
 // lateReason returns which objective of its route an answered request missed, or "".
@@ -224,6 +233,11 @@
 	defer cancel()
 	c.ctx = ctx
 	c.req = h.parseRequest(c, service)
+	if !h.takeQuota(c) {
+		h.recordOutcome(c)
+		return
+	}
+	defer h.endQuota(c)
 	h.tracker.recordFirstAttempt(service.Name)
 	h.serve(c, service)
 	h.recordOutcome(c)
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -17,6 +17,8 @@
 	notices          *prometheus.CounterVec
 	late             *prometheus.CounterVec
 	crashRecords     *prometheus.CounterVec
+	quotaRefusals    *prometheus.CounterVec
+	yields           prometheus.Counter
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -41,8 +43,14 @@
 		crashRecords: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "chervilhead_gateway_crash_records_total", Help: "News of requests that may crash endpoints, by source: this gateway's own attempts or records received from others.",
 		}, []string{"source"}),
+		quotaRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "chervilhead_quota_refusals_total", Help: "Requests that their group's quota refused, by reason.",
+		}, []string{"reason"}),
+		yields: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilhead_quota_yields_total", Help: "Requests sent with the last priority because their group uses more than its share.",
+		}),
 	}
-	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords)
+	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords, m.quotaRefusals, m.yields)
 	return m
 }
 
--- /dev/null
+++ b/internal/transport/proxy/quota_test.go
@@ -0,0 +1,146 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/notice"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// fakeQuotas has some units for every group.
+type fakeQuotas struct {
+	mu                 sync.Mutex
+	left               float64
+	unconfirmed, above bool
+	served             []bool
+}
+
+func (f *fakeQuotas) Take(_ context.Context, _ fleet.Group, units float64) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left < units {
+		return 1234 * time.Millisecond, false
+	}
+	f.left -= units
+	return 0, true
+}
+
+func (f *fakeQuotas) Return(_ fleet.Group, units float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left += units
+}
+
+func (f *fakeQuotas) Confirmed() bool             { return !f.unconfirmed }
+func (f *fakeQuotas) AboveShare(string) bool      { return f.above }
+func (f *fakeQuotas) Ended(_ string, served bool) { f.served = append(f.served, served) }
+
+// quotaCall returns a handler with quotas and a call of a group that has one.
+func quotaCall(q *fakeQuotas, counts string) (*Handler, *call, *httptest.ResponseRecorder) {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	in := httptest.NewRequest(http.MethodPost, "/", nil)
+	if counts != "" {
+		in.Header.Set(testHeaders.TokenCounts, counts)
+	}
+	w := httptest.NewRecorder()
+	h := &Handler{cfg: Settings{Headers: testHeaders, Quotas: q}, metrics: NewMetrics(prometheus.NewRegistry()), log: logrus.NewEntry(log)}
+	g := fleet.Group{Name: "g", Quota: fleet.Quota{Unit: fleet.QuotaTokens, PerSecond: 1000, PlainTokens: 70}}
+	return h, &call{in: in, w: w, ctx: in.Context(), began: time.Now(), deadline: time.Now().Add(time.Second), group: g}, w
+}
+
+// TestQuotaRefusal guards against requests beyond the quota that run or get another status, and
+// against 429 while nobody knows what is left of the quota.
+func TestQuotaRefusal(t *testing.T) {
+	for _, tc := range []struct {
+		unconfirmed bool
+		status      int
+		outcome     string
+	}{{false, 429, "over_quota"}, {true, 503, "quota_unknown"}} {
+		h, c, w := quotaCall(&fakeQuotas{left: 99, unconfirmed: tc.unconfirmed}, "60,40")
+		if h.takeQuota(c) || w.Code != tc.status || c.outcome != tc.outcome || w.Header().Get("Retry-After") == "" {
+			t.Errorf("status %d, outcome %q, header %v", w.Code, c.outcome, w.Header())
+		}
+		if got := w.Header().Get("Retry-After"); !tc.unconfirmed && got != "1.24" {
+			t.Errorf("Retry-After %s is before the budget covers the request", got)
+		}
+	}
+}
+
+// TestQuotaCost guards against requests that cost other than what the group's unit says.
+func TestQuotaCost(t *testing.T) {
+	tokens := fleet.Quota{Unit: fleet.QuotaTokens, PlainTokens: 70}
+	for counts, want := range map[string]float64{"60,40": 100, "60": 60, "": 70, "x": 70, "-5,3": 70} {
+		if got := quotaCost(tokens, counts); got != want {
+			t.Errorf("%q costs %v tokens, want %v", counts, got, want)
+		}
+		if got := quotaCost(fleet.Quota{}, counts); got != 1 {
+			t.Errorf("%q costs %v requests", counts, got)
+		}
+	}
+}
+
+// TestQuotaReturned guards against quota that requests use up which have not run, and against
+// returned quota of requests that may have run.
+func TestQuotaReturned(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		end      func(c *call)
+		returned bool
+	}{
+		{"rejected", func(c *call) { c.outcome = "too_late" }, true},
+		{"answered", func(c *call) { c.responseBegun, c.outcome = true, outcomeAnswered }, false},
+		{"may have run", func(c *call) { c.possibleRuns = 1 }, false},
+		{"late", func(c *call) { c.quotaTakenAt = c.quotaTakenAt.Add(-time.Minute) }, false},
+	} {
+		q := &fakeQuotas{left: 100}
+		h, c, _ := quotaCall(q, "60,40")
+		if !h.takeQuota(c) {
+			t.Fatal("refused")
+		}
+		tc.end(c)
+		h.endQuota(c)
+		if (q.left == 100) != tc.returned || len(q.served) != 1 || q.served[0] != (tc.name == "answered") {
+			t.Errorf("%s: %v units are left, served %v", tc.name, q.left, q.served)
+		}
+	}
+}
+
+// TestYieldingPriority guards against a lower priority where no request waits at the engine or
+// the group uses its share, and against groups above their share that hold up the others.
+func TestYieldingPriority(t *testing.T) {
+	for _, tc := range []struct {
+		above   bool
+		waiting int
+		want    int
+	}{{true, 1, lastPriority}, {true, 0, 3}, {false, 1, 3}} {
+		h, c, _ := quotaCall(&fakeQuotas{above: tc.above}, "")
+		e := fleet.Endpoint{ID: "e"}
+		h.control = fakeControlPlane{states: func() []fleet.State {
+			return []fleet.State{{Endpoint: e, StatusSupersedes: true, Status: fleet.Status{Waiting: tc.waiting}}}
+		}, leavers: notice.NewLeavers()}
+		if got := h.enginePriority(c, e, priority(c.route)); got != tc.want {
+			t.Errorf("%+v: priority %d", tc, got)
+		}
+	}
+}
+
+// TestNoQuota guards against calls for quota where no group has one.
+func TestNoQuota(t *testing.T) {
+	h, c, _ := quotaCall(nil, "")
+	c.group = fleet.Group{}
+	h.cfg.Quotas = nil
+	if !h.takeQuota(c) || !c.quotaTakenAt.IsZero() {
+		t.Error("a request without a quota was refused or counted")
+	}
+	h.endQuota(c)
+}
