--- a/internal/transport/control/credit_test.go
+++ b/internal/transport/control/credit_test.go
@@ -76,7 +76,7 @@
 // TestCreditMessageSize guards against messages for the designed and for many groups that don't
 // fit a datagram.
 func TestCreditMessageSize(t *testing.T) {
-	for _, groups := range []int{16, 1000} {
+	for _, groups := range []int{1, 4, 16, 1000} {
 		now := time.Now()
 		view := quotaView(groups, 1e9)
 		a := credit.NewAccount("gateway-123.example", now.UnixNano(), now)
