control, credit: a planner whose lease lapsed begins with empty buckets

A lease that lapses and is renewed may keep its term. The pool would go on with what its buckets gained meanwhile, while gateways used their shares. A pool that has not replied for 1 s is replaced. A scenario checks a lowered quota.

--- a/internal/state/credit/bound_test.go
+++ b/internal/state/credit/bound_test.go
@@ -96,6 +96,7 @@
 // TestBoundInScenarios guards against requests beyond the quota in the failures that bring the
 // use in a window nearest to the bound: a full bucket is followed by a flood and a failure.
 func TestBoundInScenarios(t *testing.T) {
+	t.Parallel()
 	const flood = 7.5 * 0.55
 	for name, fail := range map[string]func(s *sim){
 		"planner lost":   func(s *sim) { s.pool, s.endedAt = nil, s.now },
@@ -107,6 +108,12 @@
 		"frozen":         func(s *sim) { s.freeze(true); s.flood(5*time.Second, 0, 0); s.freeze(false) },
 		"planner frozen": func(s *sim) { old := s.pool; s.succeed(); s.flood(time.Second, flood, -1); s.pool = old },
 		"restarted":      (*sim).restartAll,
+		"quota lowered": func(s *sim) {
+			// A lower quota is binding one window after it takes effect.
+			s.group.Quota = tokens(s.group.Quota.PerSecond / 4)
+			s.flood(window, flood, -1)
+			s.runs = nil
+		},
 		"restarted, a planner later": func(s *sim) {
 			s.restartAll()
 			s.flood(3*time.Second, flood, -1)
--- a/internal/state/credit/sim_test.go
+++ b/internal/state/credit/sim_test.go
@@ -242,6 +242,7 @@
 // because its credit is at the wrong gateway. The loads are a group's whole quota at one gateway,
 // usual use that moves from gateway to gateway, and all gateways at random.
 func TestPermittedRequestsServed(t *testing.T) {
+	t.Parallel()
 	const gateways = 31
 	for _, perSecond := range []float64{29_000, 200_000, 610_000} {
 		for name, load := range map[string]struct {
@@ -273,6 +274,7 @@
 // sends 7.5 times its usual load is refused below its quota, and against a planner that is asked
 // too often: each of 31 gateways may ask a thousandth of a second for each gateway after a refusal.
 func TestFloodUsesWholeQuota(t *testing.T) {
+	t.Parallel()
 	const gateways, seconds = 31, 20
 	for _, perSecond := range []float64{29_000, 200_000, 610_000} {
 		for _, only := range []int{-1, 3} {
@@ -301,6 +303,7 @@
 // can't carry: 16 groups at their usual use, spread evenly over the gateways. It counts requests
 // for credit and their entries; BenchmarkCreditRequest in transport/control measures their cost.
 func TestPlannerWork(t *testing.T) {
+	t.Parallel()
 	for _, gateways := range []int{31, 340} {
 		now, rng := time.Unix(1_000_000, 0), rand.New(rand.NewPCG(1, 1))
 		f := Fleet{Groups: map[string]fleet.Group{}, Gateways: gateways}
--- a/internal/transport/control/creditpool.go
+++ b/internal/transport/control/creditpool.go
@@ -15,12 +15,18 @@
 // credit come a thousand times a second, and a count looks at the reports of all keepers.
 const countInterval = 100 * time.Millisecond
 
+// maxPoolGap is the time without a reply after which a pool is not used any more. The planner's
+// own gateway asks every 0.5 s; after a longer time the lease was lost meanwhile, and gateways may
+// have used their shares of the quotas.
+const maxPoolGap = time.Second
+
 // creditPool grants credit in the groups' quotas while this gateway is the planner.
 type creditPool struct {
 	plane *Plane
 
 	mu        sync.Mutex
 	pool      *credit.Pool
+	handledAt time.Time
 	gateways  int
 	countedAt time.Time
 }
@@ -43,10 +49,11 @@
 	if !held {
 		return credit.Grant{}, false
 	}
-	if p.pool == nil || p.pool.Term() != term {
+	if p.pool == nil || p.pool.Term() != term || now.Sub(p.handledAt) > maxPoolGap {
 		p.pool = credit.NewPool(term, now)
 		p.plane.log.WithFields(logrus.Fields{"term": term, "gateways": p.gateways}).Info("this gateway grants credit in the groups' quotas")
 	}
+	p.handledAt = now
 	return p.pool.Handle(now, r, credit.Fleet{Groups: v.Config.Groups(), Gateways: p.gateways})
 }
 
