--- a/internal/transport/control/credit_test.go
+++ b/internal/transport/control/credit_test.go
@@ -57,6 +57,17 @@
 	if took := time.Since(began).Seconds(); used < 200_000-10_000 || used > (100_000*took+100_000)*1.1+110_000 {
 		t.Errorf("%v tokens used", used)
 	}
+	// The lease lapsed and was renewed with the same term: gateways may have used their shares.
+	a.pool.mu.Lock()
+	lapsed := a.pool.pool
+	a.pool.handledAt = a.pool.handledAt.Add(-2 * maxPoolGap)
+	a.pool.mu.Unlock()
+	_, ok := a.pool.handle(credit.Request{Gateway: "c"})
+	a.pool.mu.Lock()
+	if !ok || a.pool.pool == lapsed {
+		t.Error("a pool goes on after the lease lapsed")
+	}
+	a.pool.mu.Unlock()
 	a.planner.mu.Lock()
 	a.planner.leaseUntil = time.Time{}
 	a.planner.mu.Unlock()
