--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -113,9 +113,11 @@
 		Revocation:  proxy.Revocation{Strict: cfg.Revocation.Strict, Bound: cfg.Revocation.Bound},
 		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
 		Ramp:        cfg.Ramp,
+		Quotas:      plane.Credits(),
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
+	plane.Credits().Register(reg)
 	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord})
 
 	r := mux.NewRouter()
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -395,7 +395,7 @@
 	hd.Set(h.cfg.Headers.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	hd.Set(h.cfg.Headers.ExpectInstance, e.ID)
 	if c.req.ModelName.Model != "" {
-		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(c.priority()))
+		hd.Set(h.cfg.Headers.Priority, strconv.Itoa(h.enginePriority(c, e, c.priority())))
 	}
 	if c.group.Name != "" {
 		hd.Set(h.cfg.Headers.Group, c.group.Name)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -69,6 +69,8 @@
 	Elapsed func() time.Duration
 	// Ramp limits the requests to endpoints that have just started or recovered.
 	Ramp bool
+	// Quotas bounds what groups may use; nil bounds nothing.
+	Quotas Quotas
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -83,6 +85,7 @@
 	metrics       *Metrics
 	// fingerprintKey is the key of the fingerprints of callers' keys.
 	fingerprintKey []byte
+	quotaLog       quotaLog
 
 	draining  atomic.Bool
 	bodyBytes atomic.Int64
@@ -191,6 +194,10 @@
 	// the last complete event when it ended.
 	framing           string
 	partialEventBytes int
+	// quotaUnits is what the request took of its group's quota at quotaTakenAt, which is zero if
+	// it took nothing.
+	quotaUnits   float64
+	quotaTakenAt time.Time
 }
 
 // lateReason returns which objective of its route an answered request missed, or "".
@@ -251,6 +258,11 @@
 	defer cancel()
 	c.ctx = ctx
 	c.req = h.parseRequest(c, service)
+	if !h.takeQuota(c) {
+		h.recordOutcome(c)
+		return
+	}
+	defer h.endQuota(c)
 	h.tracker.recordFirstAttempt(service.Name)
 	h.serve(c, service)
 	h.recordOutcome(c)
