testbed, platform: endpoints of several software versions, callers that resume streams

An endpoint's registration has said the number 1 as the version, which the platform writes as a string, and no caller of the stand-ins resumed a stream, so no test could show that a stream continues at another version. Registrations now have a software version, which the bytes of each event depend on; endpoints check nothing. Callers resume with Last-Event-Id and Resumes. The checker finds the version of each event by its hash and reports ORDER for a stream with two, over all attempts, and LOST for resumptions that go on less than half as often as new streams begin while two endpoints of the version serve. An endpoint can return under the same id with another version. The names of the headers for keys and groups are declared with it.

The events of partial bodies are checked now, too; before, only those of complete ones were.

--- a/internal/standin/testbed/checker.go
+++ b/internal/standin/testbed/checker.go
@@ -29,6 +29,12 @@
 	toldLeaving map[endpointAtGateway]time.Time
 	// pauses are the answers that asked for a pause.
 	pauses []pause
+	// serving are the periods in which endpoint incarnations served new requests.
+	serving []*servingPeriod
+	// streams are the callers' streams by the id of the attempt that delivered the first event.
+	streams map[string]*callerStream
+	// attempts are the attempts of streams that a gateway read.
+	attempts []streamAttempt
 }
 
 // Arrival is a request's arrival at an endpoint.
@@ -61,7 +67,7 @@
 
 // NewChecker returns a checker without records.
 func NewChecker() *Checker {
-	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}, rateLimits: map[string][]rateLimit{}, toldLeaving: map[endpointAtGateway]time.Time{}}
+	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}, rateLimits: map[string][]rateLimit{}, toldLeaving: map[endpointAtGateway]time.Time{}, streams: map[string]*callerStream{}}
 }
 
 // Arrivals returns the arrivals in their order.
@@ -188,5 +194,11 @@
 	return hex.EncodeToString(x.Sum(nil))
 }
 
-// event returns the data of one event of a request's stream.
-func event(id string, n int) string { return sign(id, strconv.AppendInt(nil, int64(n), 10)) }
+// endMark begins the data of a stream's last event.
+const endMark = "end "
+
+// event returns the data of one event of a request's stream, written by one version of the
+// endpoints' software.
+func event(id, version string, n int) string {
+	return sign(id, strconv.AppendInt([]byte(version+" "), int64(n), 10))
+}
--- a/internal/standin/testbed/client.go
+++ b/internal/standin/testbed/client.go
@@ -16,7 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"chervilhead/platform"
 	"chervilhead/platform/stub"
 )
 
@@ -24,7 +23,6 @@
 type Client struct {
 	checker *Checker
 	headers headerNames
-	tokens  string
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
@@ -37,8 +35,7 @@
 
 // NewClient returns a client that reports to a checker and has no connections yet.
 func NewClient(checker *Checker) *Client {
-	h := platform.Headers()
-	return &Client{checker: checker, headers: newHeaderNames(), tokens: h.TokenCounts, conns: map[string]*clientConn{}}
+	return &Client{checker: checker, headers: newHeaderNames(), conns: map[string]*clientConn{}}
 }
 
 // Request describes one request of a client.
@@ -54,6 +51,14 @@
 	Deadline time.Duration
 	// CancelAfter is when the client gives up and closes its connection; 0 means never.
 	CancelAfter time.Duration
+	// Stream is the id of the attempt that delivered the first event of the stream that the
+	// request resumes, and LastEvent the number of the last event that the caller has; a request
+	// for a new stream has neither.
+	Stream    string
+	LastEvent int
+	// Resumes is what the request says instead of Stream if WrongResumes is set.
+	Resumes      string
+	WrongResumes bool
 }
 
 // Outcome is how a request ended for the client.
@@ -92,6 +97,10 @@
 	Detail    string
 	// RetryAfter is the time after which a refused request may be sent again.
 	RetryAfter time.Duration
+	// LastEvent is the number of the last event of the stream that the caller has, also those of
+	// earlier attempts; Ended is set if it ended the stream.
+	LastEvent int
+	Ended     bool
 }
 
 var requestNumber atomic.Uint64
@@ -114,6 +123,7 @@
 		return res.with(OutcomeNotSent, err.Error())
 	}
 	defer func() {
+		c.recordAttempt(req, res)
 		if res.Outcome != OutcomeServed && res.Outcome != OutcomeRefused && res.Outcome != OutcomeFailed || res.ConnClose {
 			c.drop(req.Gateway)
 		}
@@ -130,10 +140,12 @@
 		if prompt == "" {
 			prompt = fmt.Sprintf("aa:300,%x:100", requestNumber.Load())
 		}
-		fmt.Fprintf(&b, "%s: %s\r\n%s: 400,40\r\n%s: %s\r\n", c.headers.model, req.Model, c.tokens, c.headers.prompt, prompt)
+		fmt.Fprintf(&b, "%s: %s\r\n%s: 400,40\r\n%s: %s\r\n", c.headers.model, req.Model, c.headers.tokens, c.headers.prompt, prompt)
 	}
+	c.writeResumption(&b, req)
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(req.Body), req.Body)
 	sent := time.Now()
+	res.LastEvent = req.LastEvent
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		res = res.with(OutcomeNotSent, err.Error())
 		return res
@@ -159,6 +171,9 @@
 	c.checker.addToldLeaving(req.Gateway, resp.Header, c.headers)
 	res.Status, res.ConnClose = resp.StatusCode, resp.Close
 	body, err := io.ReadAll(resp.Body)
+	if err != nil && req.Model != "" && resp.StatusCode == http.StatusOK {
+		res = c.readEvents(req, res, body)
+	}
 	switch {
 	case err != nil && isTimeout(err) && req.CancelAfter > 0:
 		res = res.with(OutcomeCancelled, "")
@@ -188,8 +203,7 @@
 	}
 	switch s := resp.StatusCode; {
 	case s == http.StatusOK && req.Model != "":
-		c.checkStream(res, resp, body)
-		return res.with(OutcomeServed, "")
+		return c.checkStream(req, res, resp, body).with(OutcomeServed, "")
 	case s == http.StatusOK:
 		if resp.Header.Get(c.headers.signature) != sign(res.ID, body) {
 			c.checker.AddViolation("MIXED", "request %s got status 200 with a body of %d bytes that doesn't match its signature", res.ID, len(body))
@@ -208,26 +222,6 @@
 	}
 }
 
-// checkStream checks that the events are those of the request, each once and in order.
-func (c *Client) checkStream(res Result, resp *http.Response, body []byte) {
-	if resp.Header.Get(c.headers.signature) != sign(res.ID, nil) {
-		c.checker.AddViolation("MIXED", "stream %s has the wrong signature %q", res.ID, resp.Header.Get(c.headers.signature))
-	}
-	n, ended := 0, false
-	for e := range strings.SplitSeq(strings.TrimSuffix(string(body), "\n\n"), "\n\n") {
-		n++
-		head, data, _ := strings.Cut(e, "\ndata: ")
-		if head != "id: "+strconv.Itoa(n) || data != event(res.ID, n) && data != "end" || ended {
-			c.checker.AddViolation("ORDER", "stream %s: event %d is %q", res.ID, n, e)
-			return
-		}
-		ended = data == "end"
-	}
-	if !ended {
-		c.checker.AddViolation("ORDER", "stream %s ended without its end event, after event %d", res.ID, n)
-	}
-}
-
 func (c *Client) conn(gateway string) (conn *clientConn, reused bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -53,6 +53,8 @@
 	// Engine is set for endpoints with models; InitialModels are resident at the first start.
 	Engine        *stub.Engine
 	InitialModels []string
+	// SoftwareVersion is in the registration, and the bytes of the endpoint's events depend on it.
+	SoftwareVersion string
 }
 
 // Endpoint is a simulated endpoint, a plain service or a model engine, that registers in the store.
@@ -65,6 +67,10 @@
 	mu          sync.Mutex
 	incarnation int
 	id          string
+	// keepID makes the next incarnation use the id of the current one.
+	keepID bool
+	// nextVersion is the software version of the next incarnation, or nil if it is the current one.
+	nextVersion *string
 	startMillis int64
 	state       stub.State
 	// drainingSince is when the endpoint's registration first said that it drains.
@@ -84,17 +90,19 @@
 	waiting    int
 	running    int
 	model      *modelState
+	// endServing ends the period in which the incarnation serves new requests.
+	endServing func()
 	wg         sync.WaitGroup
 }
 
 // headerNames are the names of the platform's header fields.
 type headerNames struct {
-	id, model, instance, expectInstance, notRun, signature, deadline, lastEvent, rateLimit, leaving, prompt string
+	id, model, instance, expectInstance, notRun, signature, deadline, lastEvent, rateLimit, leaving, prompt, tokens, resumes, key, group string
 }
 
 func newHeaderNames() headerNames {
 	h := platform.Headers()
-	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID, h.RateLimit, h.Leaving, h.PromptPrefix}
+	return headerNames{h.RequestID, h.Model, h.InstanceID, h.ExpectInstance, h.NotRun, h.Signature, h.Deadline, h.LastEventID, h.RateLimit, h.Leaving, h.PromptPrefix, h.TokenCounts, h.Resumes, h.APIKey, h.Group}
 }
 
 // NewEndpoint returns an endpoint that hasn't been started.
@@ -124,10 +132,17 @@
 	if e.cfg.RegisteredAddress == "" {
 		e.cfg.RegisteredAddress = e.cfg.ListenAddress
 	}
-	e.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(e.cfg.RegisteredAddress), e.incarnation)
+	if e.id == "" || !e.keepID {
+		e.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(e.cfg.RegisteredAddress), e.incarnation)
+	}
+	e.keepID = false
+	if e.nextVersion != nil {
+		e.cfg.SoftwareVersion, e.nextVersion = *e.nextVersion, nil
+	}
 	e.startMillis, e.state, e.cancel, e.drainingSince, e.rateLimit = time.Now().UnixMilli(), stub.StateReady, cancel, time.Time{}, ""
 	e.leaving, e.pausedUntil, e.crashing = false, time.Time{}, false
 	e.waiting, e.running = 0, 0
+	e.endServing = e.checker.beginServing(softwareOf{e.cfg.Service, e.cfg.SoftwareVersion})
 	if e.cfg.Engine != nil {
 		e.model = newModelState(e.cfg.Engine, e.cfg.InitialModels, e.checker)
 		// After a restart no model is resident.
@@ -154,6 +169,21 @@
 	return e.id
 }
 
+// SoftwareVersion returns the version of the endpoint's newest incarnation.
+func (e *Endpoint) SoftwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cfg.SoftwareVersion
+}
+
+// SetNextVersion sets the software version of the next incarnation, and whether that uses the
+// id of the current one.
+func (e *Endpoint) SetNextVersion(version string, keepID bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextVersion, e.keepID = &version, keepID
+}
+
 // LimitRate makes the endpoint's answers name a limit of requests a second until its
 // incarnation ends; 0 withdraws it.
 func (e *Endpoint) LimitRate(perSecond float64) {
@@ -169,13 +199,25 @@
 // Kill ends the incarnation at once; its registration lapses after three heartbeat intervals.
 func (e *Endpoint) Kill() {
 	e.mu.Lock()
-	id := e.id
+	id, incarnation := e.id, e.incarnation
 	e.cancel()
 	srv := e.srv
+	e.endServing()
 	e.mu.Unlock()
 	_ = srv.Close()
 	e.wg.Wait()
-	time.AfterFunc(3*e.cfg.HeartbeatInterval, func() { e.store.Unregister(id) })
+	time.AfterFunc(3*e.cfg.HeartbeatInterval, func() {
+		if !e.succeeded(id, incarnation) {
+			e.store.Unregister(id)
+		}
+	})
+}
+
+// succeeded reports whether a later incarnation uses an incarnation's id.
+func (e *Endpoint) succeeded(id string, incarnation int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id == id && e.incarnation != incarnation
 }
 
 // Drain registers the endpoint as draining, says so in its answers too, keeps serving for d, then ends the incarnation.
@@ -183,6 +225,7 @@
 	e.mu.Lock()
 	e.state, e.leaving = stub.StateDraining, true
 	id := e.id
+	e.endServing()
 	e.mu.Unlock()
 	e.register()
 	e.mu.Lock()
@@ -207,7 +250,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r := stub.Registration{
-		Service: e.cfg.Service, Address: e.cfg.RegisteredAddress, Zone: e.cfg.Zone, Slots: e.cfg.Slots, State: e.state, Born: e.startMillis, Version: 1,
+		Service: e.cfg.Service, Address: e.cfg.RegisteredAddress, Zone: e.cfg.Zone, Slots: e.cfg.Slots, State: e.state, Born: e.startMillis, SoftwareVersion: e.cfg.SoftwareVersion,
 	}
 	if e.model != nil {
 		r.Sequence, r.Models = e.model.sequence(), e.model.list()
@@ -216,7 +259,7 @@
 }
 
 func (e *Endpoint) handler() http.Handler {
-	id, model := e.id, e.model
+	id, model, version := e.id, e.model, e.cfg.SoftwareVersion
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.addOwnFields(w.Header())
 		switch {
@@ -237,7 +280,7 @@
 				go e.Kill()
 			}
 		default:
-			e.serve(w, r, id, model)
+			e.serve(w, r, id, version, model)
 		}
 	})
 }
@@ -261,7 +304,7 @@
 	w.WriteHeader(status)
 }
 
-func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request, self string, model *modelState) {
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request, self, version string, model *modelState) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -295,7 +338,7 @@
 	}
 	if model != nil {
 		e.crashIfDeadly(w, r, id, self)
-		e.stream(w, r, id, f)
+		e.stream(w, r, id, version, f)
 		return
 	}
 	stub.Sleep(r.Context(), e.cfg.ProcessingTime)
@@ -392,7 +435,7 @@
 }
 
 // stream sends the events of a run that follow the last one the caller has received.
-func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id string, f EndpointFault) {
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, id, version string, f EndpointFault) {
 	from := 0
 	if last := r.Header.Get(e.headers.lastEvent); last != "" {
 		n, err := strconv.Atoi(last)
@@ -415,9 +458,9 @@
 	defer out.end()
 	for n := from + 1; n <= e.cfg.StreamEvents; n++ {
 		stub.Sleep(r.Context(), e.cfg.EventInterval)
-		data := event(id, n)
+		data := event(id, version, n)
 		if n == e.cfg.StreamEvents {
-			data = "end"
+			data = endMark + data
 		}
 		frame := fmt.Sprintf("id: %d\ndata: %s\n\n", n, data)
 		if r.Context().Err() != nil || f == EndpointFaultTruncate && n == from+e.cfg.StreamEvents/2 {
--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -35,6 +35,8 @@
 	EventInterval  time.Duration
 	// HeartbeatInterval is the time between two writes of a registration.
 	HeartbeatInterval time.Duration
+	// SoftwareVersions are the versions of the engines, in turn; without any they have none.
+	SoftwareVersions []string
 }
 
 // Environment is what surrounds the gateways and keepers of a small deployment: the store,
@@ -105,6 +107,9 @@
 		s := base
 		s.Service, s.Engine = modelService, spec
 		s.InitialModels = []string{Models[i%len(Models)], Models[(i+1)%len(Models)]}
+		if n := len(cfg.SoftwareVersions); n > 0 {
+			s.SoftwareVersion = cfg.SoftwareVersions[i%n]
+		}
 		host := fmt.Sprintf("127.0.4.%d", i+1)
 		e, err := env.add(s, host, cfg.Proxied)
 		if err != nil {
--- a/internal/transport/proxy/headers.go
+++ b/internal/transport/proxy/headers.go
@@ -35,6 +35,11 @@
 	// Priority holds the request's priority at an engine; 0 goes first.
 	Priority    string
 	LastEventID string
+	// Resumes holds, in a request that continues a broken stream, the id of the caller's attempt
+	// that delivered the stream's first event.
+	Resumes string
+	// APIKey holds the caller's key; Group tells the endpoint the group that holds the key.
+	APIKey, Group string
 	// Reserved lists the fields that are removed from clients' requests because only the
 	// system sets them.
 	Reserved []string
