soak: rollouts of software versions, faults of all gateways at once, resumed streams

No run of the soak had two versions, or a caller that resumes a stream, so it could not find a stream that two versions wrote. All gateways are killed or frozen at once. Callers cut three of ten resumable streams and resume what broke, over several attempts and at any gateway; one in ten resumptions names no attempt, a malformed one or one that is not known. Resumptions within 10 s of a loss of power are excused from LOST, because that takes the records of streams with it. The schedules of all kinds are put together in one place; those of earlier kinds have the same draws as before.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,9 @@
 	rateLimit
 	endpointLeave
 	endpointPause
+	rollout
+	gatewaysKill
+	gatewaysFreeze
 )
 
 // String returns the kind's name in reports.
@@ -39,6 +42,7 @@
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
 		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore", "rate_limit", "endpoint_leave", "endpoint_pause",
+		"rollout", "gateways_kill", "gateways_freeze",
 	}[k]
 }
 
@@ -142,6 +146,10 @@
 		done()
 	case powerLoss:
 		s.killAll(e.duration)
+	case rollout:
+		s.rollOut(e)
+	case gatewaysKill, gatewaysFreeze:
+		s.disruptGateways(e)
 	case newRoute:
 		s.env.AddRoute()
 	case historyDrop:
@@ -184,13 +192,26 @@
 
 // killAll kills all processes that no other fault has reserved at once and restarts them.
 func (s *soak) killAll(duration time.Duration) {
-	var reserved []int
-	for i := range s.procs() {
+	reserved := s.reserveProcs(len(s.procs()))
+	done, powerDone := s.recordFault(&s.pathFaults), s.recordFault(&s.powerLosses)
+	s.killProcs(reserved, duration)
+	done()
+	powerDone()
+}
+
+// reserveProcs reserves those of the first n processes that no other fault has reserved.
+func (s *soak) reserveProcs(n int) []int {
+	var out []int
+	for i := range n {
 		if s.reserve(&s.busyProcs, i) {
-			reserved = append(reserved, i)
+			out = append(out, i)
 		}
 	}
-	done := s.recordFault(&s.pathFaults)
+	return out
+}
+
+// killProcs kills reserved processes at once, restarts them and releases them.
+func (s *soak) killProcs(reserved []int, duration time.Duration) {
 	var endFaults []func()
 	for _, i := range reserved {
 		endFaults = append(endFaults, s.procs()[i].beginFault())
@@ -203,5 +224,4 @@
 		endFaults[n]()
 		s.release(&s.busyProcs, i)
 	}
-	done()
 }
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -76,6 +76,9 @@
 		sentAt := time.Now()
 		res := c.Do(req)
 		s.checkResult(g, req, res, sentAt)
+		if s.cfg.Versions {
+			s.resume(ctx, r, c, req, res)
+		}
 		switch res.Outcome {
 		case testbed.OutcomeServed, testbed.OutcomeRefused, testbed.OutcomeFailed:
 			if res.ConnClose {
@@ -111,6 +114,9 @@
 	if r.Float64() < cancelFraction {
 		req.CancelAfter = time.Duration(1+r.IntN(300)) * time.Millisecond
 	}
+	if s.cfg.Versions && req.CancelAfter == 0 && req.Route.Resumable {
+		req.CancelAfter = cutAfter(r)
+	}
 	return req
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -14,6 +16,11 @@
 	meanLeaveInterval = 3 * time.Second
 	// meanPauseInterval is the mean time between endpoints that ask for a pause.
 	meanPauseInterval = 2 * time.Second
+	// meanRolloutInterval is the mean time between rollouts, each of which takes some seconds.
+	meanRolloutInterval = 4 * time.Second
+	// meanGatewaysFaultInterval is the mean time between faults of one kind of all gateways at
+	// once; between two of them a configuration has time to take effect.
+	meanGatewaysFaultInterval = 8 * time.Second
 )
 
 // scheduleKind returns the faults of one kind of a seed, ordered by time. Each kind has draws
@@ -47,3 +54,41 @@
 func schedulePauses(seed uint64, length time.Duration) []faultEvent {
 	return scheduleKind(endpointPause, 5, seed, length, meanPauseInterval)
 }
+
+func scheduleRollouts(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(rollout, 6, seed, length, meanRolloutInterval)
+}
+
+func scheduleGatewayKills(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(gatewaysKill, 7, seed, length, meanGatewaysFaultInterval)
+}
+
+func scheduleGatewayFreezes(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(gatewaysFreeze, 8, seed, length, meanGatewaysFaultInterval)
+}
+
+// scheduleAll returns all faults of a run, ordered by time.
+func scheduleAll(cfg Settings) []faultEvent {
+	if cfg.DisableFaults {
+		return nil
+	}
+	events := schedule(cfg.Seed, cfg.InjectionDuration)
+	for _, kind := range []struct {
+		on   bool
+		list func(uint64, time.Duration) []faultEvent
+	}{
+		{cfg.Restores, scheduleRestores},
+		{cfg.RateLimits, scheduleRateLimits},
+		{cfg.Leaves, scheduleLeaves},
+		{cfg.Pauses, schedulePauses},
+		{cfg.Versions, scheduleRollouts},
+		{cfg.Versions, scheduleGatewayKills},
+		{cfg.Versions, scheduleGatewayFreezes},
+	} {
+		if kind.on {
+			events = append(events, kind.list(cfg.Seed, cfg.InjectionDuration)...)
+		}
+	}
+	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
+	return events
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +50,9 @@
 	// Leaves adds endpoints that only their answers say to leave, Pauses endpoints that ask for a
 	// pause, to the faults.
 	Leaves, Pauses bool
+	// Versions adds rollouts of other software versions of the engines, faults of all gateways at
+	// once, and callers that resume broken streams.
+	Versions bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -81,15 +82,21 @@
 	pathFaults  []span
 	// linkFaults are the periods of faults of links.
 	linkFaults []span
-	rotation   []*proc
-	errs       []error
+	// powerLosses are the periods in which all processes were killed at once.
+	powerLosses []span
+	rotation    []*proc
+	errs        []error
 }
 
 // Run runs the load and the fault schedule of one seed. Violated rules are in the report; the
 // error is about the run itself.
 func Run(ctx context.Context, cfg Settings) (Report, error) {
+	if cfg.Versions {
+		cfg.Engines = max(cfg.Engines, minVersionEngines)
+	}
 	env, err := testbed.New(testbed.Settings{
-		PlainEndpoints: cfg.PlainEndpoints, EngineEndpoints: cfg.Engines, Proxied: true, FaultFraction: 0.02, ProcessingTime: 20 * time.Millisecond, StreamEvents: 30, EventInterval: 15 * time.Millisecond, HeartbeatInterval: 600 * time.Millisecond,
+		SoftwareVersions: cfg.initialVersions(),
+		PlainEndpoints:   cfg.PlainEndpoints, EngineEndpoints: cfg.Engines, Proxied: true, FaultFraction: 0.02, ProcessingTime: 20 * time.Millisecond, StreamEvents: 30, EventInterval: 15 * time.Millisecond, HeartbeatInterval: 600 * time.Millisecond,
 	})
 	if err != nil {
 		return Report{}, err
@@ -101,23 +108,7 @@
 		return Report{}, err
 	}
 	rep := Report{Seed: cfg.Seed}
-	events := schedule(cfg.Seed, cfg.InjectionDuration)
-	if cfg.Restores {
-		events = append(events, scheduleRestores(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.RateLimits {
-		events = append(events, scheduleRateLimits(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.Leaves {
-		events = append(events, scheduleLeaves(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.Pauses {
-		events = append(events, schedulePauses(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
-	if cfg.DisableFaults {
-		events = nil
-	}
+	events := scheduleAll(cfg)
 	for _, e := range events {
 		rep.Faults = append(rep.Faults, e.String())
 	}
@@ -157,6 +148,7 @@
 	s.checkArrivals()
 	s.checkRateLimits()
 	s.checkNotices()
+	s.checkResumptions()
 	for _, p := range s.procs() {
 		if p.unexpectedExits > 0 {
 			s.env.Checker.AddViolation("FAULT", "%s exited unexpectedly %d times", p.name, p.unexpectedExits)
--- a/internal/standin/testbed/resume.go
+++ b/internal/standin/testbed/resume.go
@@ -214,6 +214,7 @@
 				}
 			}
 		}
+		c.counts["resumptions_judged"] += resumed
 		if resumed < minResumptions || started == 0 {
 			continue
 		}
