testbed: groups of callers with keys and quotas, and the checks of their rules

No stand-in asked for keys or counted quotas. The configuration may hold groups, whose keys and quotas change; callers send a key, several, none, one in a trailer, or claim a group. The checker reports a key or a wrong group at an endpoint (UNASKED), a run without a key that a configuration held (ROUTE), a run with a key that was removed too long before, or 401 for one that was added before (CONFIG), 401 or 403 for what every configuration allows (DENIED), a run of a request that got 401 or 429 (REFUSED), and a window in which a group's requests cost more than its quota allows (QUOTA). Without groups nothing changes.

--- a/internal/standin/testbed/checker.go
+++ b/internal/standin/testbed/checker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -35,6 +36,12 @@
 	streams map[string]*callerStream
 	// attempts are the attempts of streams that a gateway read.
 	attempts []streamAttempt
+	// keys are those that a configuration held; without any, callers need none.
+	keys map[string]*callerKey
+	// keyedRuns are the runs of requests with such a key.
+	keyedRuns []keyedRun
+	// quotas holds the quotas of the groups in the order of their configurations.
+	quotas map[string][]quota
 }
 
 // Arrival is a request's arrival at an endpoint.
@@ -59,15 +66,23 @@
 	sentAt                      time.Time
 	method, target, model, body string
 	once                        bool
-	arrived                     bool
-	runs                        []string
+	// public is set if the route asks for no key; key is the one that counts, or empty, and
+	// secrets are all that the request holds.
+	public  bool
+	key     string
+	secrets []string
+	// tokens is the sum of the request's token counts if it has any.
+	tokens    int
+	hasTokens bool
+	arrived   bool
+	runs      []string
 	// notRunStatus is the status of an answer that promises that the request hasn't run, or 0.
 	notRunStatus int
 }
 
 // NewChecker returns a checker without records.
 func NewChecker() *Checker {
-	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}, rateLimits: map[string][]rateLimit{}, toldLeaving: map[endpointAtGateway]time.Time{}, streams: map[string]*callerStream{}}
+	return &Checker{requests: map[string]*sentRequest{}, counts: map[string]int{}, faulted: map[string]bool{}, rateLimits: map[string][]rateLimit{}, toldLeaving: map[endpointAtGateway]time.Time{}, streams: map[string]*callerStream{}, keys: map[string]*callerKey{}, quotas: map[string][]quota{}}
 }
 
 // Arrivals returns the arrivals in their order.
@@ -167,21 +182,28 @@
 		c.addViolationLocked("UNASKED", "endpoint %s ran request %s differently from how it was sent: %s %s model %q, %d bytes", endpoint, id, method, target, model, len(body))
 	}
 	a.runs = append(a.runs, endpoint)
+	c.checkKeyLocked(id, endpoint, a)
 	if a.once && len(a.runs) > 1 {
 		c.addViolationLocked("TWICE", "request %s ran at %v", id, a.runs)
 	}
-	if a.once && a.notRunStatus != 0 {
+	if a.mayNotRunAfter(a.notRunStatus) {
 		c.addViolationLocked("REFUSED", "request %s ran at %s after status %d", id, endpoint, a.notRunStatus)
 	}
 }
 
+// mayNotRunAfter reports whether a request that was answered with a status must not run, neither
+// before nor after it. Requests that may run several times may end with 503 after a run.
+func (a *sentRequest) mayNotRunAfter(status int) bool {
+	return status != 0 && a.once || status == http.StatusUnauthorized || status == http.StatusTooManyRequests
+}
+
 // addNotRun records an answer that promises that the request hasn't run.
 func (c *Checker) addNotRun(id string, status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.requests[id]
 	a.notRunStatus = status
-	if a.once && len(a.runs) > 0 {
+	if a.mayNotRunAfter(status) && len(a.runs) > 0 {
 		c.addViolationLocked("REFUSED", "request %s got status %d and ran at %v", id, status, a.runs)
 	}
 }
--- a/internal/standin/testbed/client.go
+++ b/internal/standin/testbed/client.go
@@ -59,6 +59,13 @@
 	// Resumes is what the request says instead of Stream if WrongResumes is set.
 	Resumes      string
 	WrongResumes bool
+	// Keys are the values of the caller's key fields, of which a proper request has one, and
+	// TrailerKey that of a trailer. ForgedGroup is a group that the caller claims.
+	Keys                    []string
+	TrailerKey, ForgedGroup string
+	// PromptTokens and OutputTokens are the token counts of a request for a model; 0 means the
+	// client's own choice.
+	PromptTokens, OutputTokens int
 }
 
 // Outcome is how a request ended for the client.
@@ -117,7 +124,13 @@
 func (c *Client) Do(req Request) Result {
 	res := Result{ID: fmt.Sprintf("r%08x-%d", rand.Uint32(), requestNumber.Add(1))}
 	target := req.Route.Prefix + req.Path
-	c.checker.addRequest(res.ID, &sentRequest{gateway: req.Gateway, method: http.MethodPost, target: target, model: req.Model, body: req.Body, once: req.Route.Kind == stub.KindOnce})
+	if req.PromptTokens == 0 {
+		req.PromptTokens, req.OutputTokens = 400, 40
+	}
+	c.checker.addRequest(res.ID, &sentRequest{
+		gateway: req.Gateway, method: http.MethodPost, target: target, model: req.Model, body: req.Body, once: req.Route.Kind == stub.KindOnce,
+		public: req.Route.Public, key: req.callerKey(), secrets: req.secrets(), tokens: req.PromptTokens + req.OutputTokens, hasTokens: req.Model != "",
+	})
 	conn, reused, err := c.conn(req.Gateway)
 	if err != nil {
 		return res.with(OutcomeNotSent, err.Error())
@@ -138,12 +151,13 @@
 	if req.Model != "" {
 		prompt := req.Prompt
 		if prompt == "" {
-			prompt = fmt.Sprintf("aa:300,%x:100", requestNumber.Load())
+			prompt = fmt.Sprintf("aa:300,%x:%d", requestNumber.Load(), max(1, req.PromptTokens-300))
 		}
-		fmt.Fprintf(&b, "%s: %s\r\n%s: 400,40\r\n%s: %s\r\n", c.headers.model, req.Model, c.headers.tokens, c.headers.prompt, prompt)
+		fmt.Fprintf(&b, "%s: %s\r\n%s: %d,%d\r\n%s: %s\r\n", c.headers.model, req.Model, c.headers.tokens, req.PromptTokens, req.OutputTokens, c.headers.prompt, prompt)
 	}
 	c.writeResumption(&b, req)
-	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(req.Body), req.Body)
+	c.writeKeys(&b, req)
+	c.writeBody(&b, req)
 	sent := time.Now()
 	res.LastEvent = req.LastEvent
 	if _, err := io.WriteString(conn, b.String()); err != nil {
@@ -217,6 +231,9 @@
 			c.checker.AddViolation("REFUSED", "request %s got status %d without a valid Retry-After header", res.ID, s)
 		}
 		return res.with(OutcomeRefused, strings.TrimSpace(string(body)))
+	case s == http.StatusUnauthorized:
+		c.checker.addNotRun(res.ID, s)
+		return res.with(OutcomeFailed, strings.TrimSpace(string(body)))
 	default:
 		return res.with(OutcomeFailed, strings.TrimSpace(string(body)))
 	}
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -323,6 +323,7 @@
 		return
 	}
 	e.checker.addArrival(id, self, e.drainingFor())
+	e.checker.checkCaller(id, self, r.Header, r.Trailer, e.headers)
 	if e.rejectIfPaused(w, r, id, self) {
 		return
 	}
--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -37,6 +37,8 @@
 	HeartbeatInterval time.Duration
 	// SoftwareVersions are the versions of the engines, in turn; without any they have none.
 	SoftwareVersions []string
+	// Groups are the groups of callers in the first configuration; without any, callers need no key.
+	Groups []stub.Group
 }
 
 // Environment is what surrounds the gateways and keepers of a small deployment: the store,
@@ -81,6 +83,7 @@
 			{Name: "talk", Prefix: "/talk/", Kind: stub.KindStream, TimeoutMS: 6000, ObjectiveMS: 500, GapObjectiveMS: 300, Service: modelService, MaxAttempts: 1},
 		},
 	}
+	env.addGroups(cfg.Groups)
 	for i := range env.config.Routes {
 		env.config.Routes[i].Host = RouteHost
 	}
--- a/internal/standin/testbed/resume.go
+++ b/internal/standin/testbed/resume.go
@@ -71,10 +71,11 @@
 }
 
 // recordAttempt records an attempt of a stream for CheckResumptions. A gateway didn't decide on
-// what it never read, or on what the caller gave up before an answer.
+// what it never read, or on what the caller gave up before an answer; a key that is not known says
+// nothing of the stream.
 func (c *Client) recordAttempt(req Request, res Result) {
 	served := res.LastEvent > req.LastEvent || res.Ended
-	if req.Route.Kind != stub.KindStream || !req.Route.Resumable || req.WrongResumes || res.Outcome == OutcomeNotSent || res.Outcome == OutcomeCancelled && !served {
+	if req.Route.Kind != stub.KindStream || !req.Route.Resumable || req.WrongResumes || res.Outcome == OutcomeNotSent || res.Status == http.StatusUnauthorized || res.Outcome == OutcomeCancelled && !served {
 		return
 	}
 	c.checker.addAttempt(req, res.ID, served)
--- a/internal/standin/testbed/resume_test.go
+++ b/internal/standin/testbed/resume_test.go
@@ -98,7 +98,7 @@
 			for n := range tc.resumed {
 				attempt(Request{Route: route, Stream: "first", LastEvent: 1}, "again", n < tc.wentOn)
 			}
-			c.CheckResumptions(func(string, time.Time, time.Time) bool { return false })
+			c.CheckResumptions(noExcuse)
 			if tc.want {
 				expectViolation(t, c, "LOST")
 			} else if v := c.Violations(); len(v) > 0 {
