--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -144,10 +144,10 @@
 	return time.Duration(1 + r.Int64N(int64(cutTime)))
 }
 
-// checkResumptions checks that streams were resumed. A loss of power takes all records of
-// streams with it.
+// checkResumptions checks that streams were resumed. A loss of power takes all records of streams
+// with it, and harm to the link of one endpoint may concern one version alone.
 func (s *soak) checkResumptions() {
 	s.env.Checker.CheckResumptions(func(_ string, from, to time.Time) bool {
-		return s.faultDuring(&s.powerLosses, from.Add(-resumeTimeout), to)
+		return s.faultDuring(&s.powerLosses, from.Add(-resumeTimeout), to) || s.faultDuring(&s.linkFaults, from, to)
 	})
 }
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -90,8 +90,9 @@
 	waiting    int
 	running    int
 	model      *modelState
-	// endServing ends the period in which the incarnation serves new requests.
+	// endServing ends the period in which the incarnation serves all new requests, nil outside one.
 	endServing func()
+	ended      bool
 	wg         sync.WaitGroup
 }
 
@@ -142,7 +143,8 @@
 	e.startMillis, e.state, e.cancel, e.drainingSince, e.rateLimit = time.Now().UnixMilli(), stub.StateReady, cancel, time.Time{}, ""
 	e.leaving, e.pausedUntil, e.crashing = false, time.Time{}, false
 	e.waiting, e.running = 0, 0
-	e.endServing = e.checker.beginServing(softwareOf{e.cfg.Service, e.cfg.SoftwareVersion})
+	e.ended = false
+	e.updateServing()
 	if e.cfg.Engine != nil {
 		e.model = newModelState(e.cfg.Engine, e.cfg.InitialModels, e.checker)
 		// After a restart no model is resident.
@@ -193,6 +195,7 @@
 	if perSecond > 0 {
 		e.rateLimit = strconv.FormatFloat(perSecond, 'f', -1, 64)
 	}
+	e.updateServing()
 	e.checker.setRateLimit(e.id, perSecond)
 }
 
@@ -202,7 +205,8 @@
 	id, incarnation := e.id, e.incarnation
 	e.cancel()
 	srv := e.srv
-	e.endServing()
+	e.ended = true
+	e.updateServing()
 	e.mu.Unlock()
 	_ = srv.Close()
 	e.wg.Wait()
@@ -225,7 +229,7 @@
 	e.mu.Lock()
 	e.state, e.leaving = stub.StateDraining, true
 	id := e.id
-	e.endServing()
+	e.updateServing()
 	e.mu.Unlock()
 	e.register()
 	e.mu.Lock()
--- a/internal/standin/testbed/leaving.go
+++ b/internal/standin/testbed/leaving.go
@@ -17,7 +17,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = true
-	e.endServing()
+	e.updateServing()
 }
 
 // endpointAtGateway names an endpoint incarnation as one gateway knows it.
--- a/internal/standin/testbed/pause.go
+++ b/internal/standin/testbed/pause.go
@@ -24,6 +24,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.pausedUntil = time.Now().Add(d)
+	e.updateServing()
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.updateServing()
+	})
 }
 
 // rejectIfPaused turns a request away if the endpoint has asked for a pause.
--- a/internal/standin/testbed/resume.go
+++ b/internal/standin/testbed/resume.go
@@ -84,7 +84,20 @@
 // softwareOf names one version of the software of a service's endpoints.
 type softwareOf struct{ service, version string }
 
-// servingPeriod is the time in which an endpoint incarnation served new requests; a zero end
+// updateServing records whether the endpoint serves all new requests: it runs, doesn't leave, asks
+// for no pause and names no rate limit. The caller holds mu.
+func (e *Endpoint) updateServing() {
+	serves := !e.ended && !e.leaving && !time.Now().Before(e.pausedUntil) && e.rateLimit == ""
+	switch {
+	case serves && e.endServing == nil:
+		e.endServing = e.checker.beginServing(softwareOf{e.cfg.Service, e.cfg.SoftwareVersion})
+	case !serves && e.endServing != nil:
+		e.endServing()
+		e.endServing = nil
+	}
+}
+
+// servingPeriod is a time in which an endpoint incarnation served all new requests; a zero end
 // means that it still does.
 type servingPeriod struct {
 	softwareOf
@@ -109,7 +122,7 @@
 	served bool
 }
 
-// beginServing records that an endpoint incarnation serves new requests until the returned
+// beginServing records that an endpoint incarnation serves all new requests until the returned
 // function is called.
 func (c *Checker) beginServing(software softwareOf) (end func()) {
 	c.mu.Lock()
@@ -119,9 +132,7 @@
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if p.to.IsZero() {
-			p.to = time.Now()
-		}
+		p.to = time.Now()
 	}
 }
 
--- a/internal/standin/testbed/resume_test.go
+++ b/internal/standin/testbed/resume_test.go
@@ -128,3 +128,49 @@
 		}
 	}
 }
+
+// TestServing guards against a check of LOST that counts an endpoint which turns requests away as
+// one that serves: the resumptions of its version fail then, and new streams go elsewhere.
+func TestServing(t *testing.T) {
+	software := softwareOf{modelService, "1.4"}
+	for name, harm := range map[string]func(*Endpoint){
+		"paused":  func(e *Endpoint) { e.Pause(time.Minute) },
+		"limited": func(e *Endpoint) { e.LimitRate(1) },
+		"leaving": func(e *Endpoint) { e.setLeaving() },
+		"dead":    func(e *Endpoint) { e.Kill() },
+		"rolled_out": func(e *Endpoint) {
+			e.Kill()
+			e.SetNextVersion("1.5", false)
+			if err := e.Start(); err != nil {
+				t.Error(err)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			env := newEnvironment(t, Settings{EngineEndpoints: 2, SoftwareVersions: []string{"1.4"}})
+			serves := func() bool {
+				env.Checker.mu.Lock()
+				defer env.Checker.mu.Unlock()
+				now := time.Now()
+				return env.Checker.servesLocked(software, now, now)
+			}
+			if !serves() {
+				t.Error("two endpoints don't serve after their start")
+			}
+			harm(env.EngineEndpoints[0])
+			if serves() {
+				t.Error("two endpoints serve after one was harmed")
+			}
+		})
+	}
+	env := newEnvironment(t, Settings{EngineEndpoints: 1, SoftwareVersions: []string{"1.4"}})
+	env.EngineEndpoints[0].Pause(50 * time.Millisecond)
+	env.EngineEndpoints[0].LimitRate(1)
+	env.EngineEndpoints[0].LimitRate(0)
+	time.Sleep(150 * time.Millisecond)
+	env.Checker.mu.Lock()
+	defer env.Checker.mu.Unlock()
+	if list := env.Checker.serving; len(list) != 2 || !list[1].to.IsZero() {
+		t.Errorf("an endpoint whose pause and limit have ended does not serve: %d periods", len(list))
+	}
+}
