--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,13 +1,11 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +50,12 @@
 	// Leaves adds endpoints that only their answers say to leave, Pauses endpoints that ask for a
 	// pause, to the faults.
 	Leaves, Pauses bool
+	// Versions adds rollouts of other software versions of the engines, faults of all gateways at
+	// once, and callers that resume broken streams.
+	Versions bool
+	// Keys gives callers keys, which are added and removed; StrictRevocation makes the gateways
+	// prove that a key is valid. Quotas gives the groups of callers quotas. The latter two include Keys.
+	Keys, StrictRevocation, Quotas bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -71,6 +75,8 @@
 	storeListeners []*stub.Listener
 	gateways       []*proc
 	keepers        []*proc
+	// groups are the names of the groups of callers.
+	groups []string
 
 	mu            sync.Mutex
 	busyEndpoints map[int]bool
@@ -81,14 +87,22 @@
 	pathFaults  []span
 	// linkFaults are the periods of faults of links.
 	linkFaults []span
-	rotation   []*proc
-	errs       []error
+	// powerLosses are the periods in which all processes were killed at once.
+	powerLosses []span
+	rotation    []*proc
+	errs        []error
 }
 
 // Run runs the load and the fault schedule of one seed. Violated rules are in the report; the
 // error is about the run itself.
 func Run(ctx context.Context, cfg Settings) (Report, error) {
+	if cfg.Versions {
+		cfg.Engines = max(cfg.Engines, minVersionEngines)
+	}
+	cfg.Keys = cfg.Keys || cfg.StrictRevocation || cfg.Quotas
+	groups := callerGroups(cfg)
 	env, err := testbed.New(testbed.Settings{
+		SoftwareVersions: cfg.initialVersions(), Groups: groups,
 		PlainEndpoints: cfg.PlainEndpoints, EngineEndpoints: cfg.Engines, Proxied: true, FaultFraction: 0.02, ProcessingTime: 20 * time.Millisecond, StreamEvents: 30, EventInterval: 15 * time.Millisecond, HeartbeatInterval: 600 * time.Millisecond,
 	})
 	if err != nil {
@@ -96,28 +110,15 @@
 	}
 	defer env.Close()
 	s := &soak{cfg: cfg, env: env, busyEndpoints: map[int]bool{}, busyProcs: map[int]bool{}}
+	for _, g := range groups {
+		s.groups = append(s.groups, g.Name)
+	}
 	defer s.stop()
 	if err := s.build(); err != nil {
 		return Report{}, err
 	}
 	rep := Report{Seed: cfg.Seed}
-	events := schedule(cfg.Seed, cfg.InjectionDuration)
-	if cfg.Restores {
-		events = append(events, scheduleRestores(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.RateLimits {
-		events = append(events, scheduleRateLimits(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.Leaves {
-		events = append(events, scheduleLeaves(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	if cfg.Pauses {
-		events = append(events, schedulePauses(cfg.Seed, cfg.InjectionDuration)...)
-	}
-	slices.SortStableFunc(events, func(a, b faultEvent) int { return cmp.Compare(a.at, b.at) })
-	if cfg.DisableFaults {
-		events = nil
-	}
+	events := scheduleAll(cfg)
 	for _, e := range events {
 		rep.Faults = append(rep.Faults, e.String())
 	}
@@ -157,6 +158,8 @@
 	s.checkArrivals()
 	s.checkRateLimits()
 	s.checkNotices()
+	s.checkResumptions()
+	s.checkGroups()
 	for _, p := range s.procs() {
 		if p.unexpectedExits > 0 {
 			s.env.Checker.AddViolation("FAULT", "%s exited unexpectedly %d times", p.name, p.unexpectedExits)
@@ -210,7 +213,7 @@
 		}
 		s.storeListeners = append(s.storeListeners, l)
 		name := fmt.Sprintf("gateway-%d", i)
-		p, err := newProc(name, "gateway", s.cfg.Binary, s.cfg.Dir, config.Gateway{
+		settings, err := s.gatewaySettings(config.Gateway{
 			Role: "gateway", ID: name, FailureDomain: "east", KeeperPort: s.env.KeeperPort, LogLevel: "info",
 			Listen:         config.GatewayListen{Callers: addrs[3*i], Ready: addrs[3*i+1], Datagrams: addrs[3*i+2]},
 			Store:          storeConfig(l),
@@ -222,6 +225,10 @@
 		if err != nil {
 			return err
 		}
+		p, err := newProc(name, "gateway", s.cfg.Binary, s.cfg.Dir, settings)
+		if err != nil {
+			return err
+		}
 		p.callers, p.ready = addrs[3*i], addrs[3*i+1]
 		s.gateways = append(s.gateways, p)
 	}
--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -35,6 +35,10 @@
 	EventInterval  time.Duration
 	// HeartbeatInterval is the time between two writes of a registration.
 	HeartbeatInterval time.Duration
+	// SoftwareVersions are the versions of the engines, in turn; without any they have none.
+	SoftwareVersions []string
+	// Groups are the groups of callers in the first configuration; without any, callers need no key.
+	Groups []stub.Group
 }
 
 // Environment is what surrounds the gateways and keepers of a small deployment: the store,
@@ -79,6 +83,7 @@
 			{Name: "talk", Prefix: "/talk/", Kind: stub.KindStream, TimeoutMS: 6000, ObjectiveMS: 500, GapObjectiveMS: 300, Service: modelService, MaxAttempts: 1},
 		},
 	}
+	env.addGroups(cfg.Groups)
 	for i := range env.config.Routes {
 		env.config.Routes[i].Host = RouteHost
 	}
@@ -105,6 +110,9 @@
 		s := base
 		s.Service, s.Engine = modelService, spec
 		s.InitialModels = []string{Models[i%len(Models)], Models[(i+1)%len(Models)]}
+		if n := len(cfg.SoftwareVersions); n > 0 {
+			s.SoftwareVersion = cfg.SoftwareVersions[i%n]
+		}
 		host := fmt.Sprintf("127.0.4.%d", i+1)
 		e, err := env.add(s, host, cfg.Proxied)
 		if err != nil {
--- a/internal/transport/proxy/headers.go
+++ b/internal/transport/proxy/headers.go
@@ -38,6 +38,9 @@
 	// Key holds a caller's key, which is never forwarded; Group the name of the key's group,
 	// which only the system sets.
 	Key, Group string
+	// Resumes holds, in a request that continues a broken stream, the id of the caller's attempt
+	// that delivered the stream's first event.
+	Resumes string
 	// Reserved lists the fields that are removed from clients' requests because only the
 	// system sets them.
 	Reserved []string
