--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -20,6 +20,9 @@
 	// the incarnations that use one id.
 	Incarnation int64
 	Models      []Resident
+	// SoftwareVersion is the version of the endpoint's software; endpoints without one are all of
+	// the empty version.
+	SoftwareVersion string
 }
 
 // IncarnationID identifies one life of an endpoint's process.
