resume, watch, platform: software versions of endpoints and of streams

Cause: the version in a registration wasn't decoded, and nothing could tell at which version a broken stream may continue.

The registration's version is part of the endpoint, of its incarnation and of the endpoints' digest. state/resume holds the records of streams, the history of versions and the decision; the watcher records gaps between confirmations.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -99,7 +99,10 @@
 			if due = now.Add(time.Duration(observationWaitFactor * float64(w.timing.EndpointPoll))); due.After(limit) {
 				due = limit
 			}
-			w.update(func(v *View) { v.EndpointsConfirmedAt, v.StoreVersion = now, obs.StoreVersion })
+			w.update(func(v *View) {
+				v.recordGap(now)
+				v.EndpointsConfirmedAt, v.StoreVersion = now, obs.StoreVersion
+			})
 		case <-t.C:
 			return reg, version
 		case <-ctx.Done():
@@ -165,7 +168,7 @@
 	for _, id := range slices.Sorted(maps.Keys(list)) {
 		e := list[id]
 		for _, s := range []string{
-			id, e.Service, e.Address, e.FailureDomain, strconv.Itoa(e.Slots), strconv.FormatBool(e.Leaving), strconv.FormatInt(e.Incarnation, 10),
+			id, e.Service, e.Address, e.FailureDomain, strconv.Itoa(e.Slots), strconv.FormatBool(e.Leaving), strconv.FormatInt(e.Incarnation, 10), e.SoftwareVersion,
 		} {
 			_, _ = x.WriteString(s)
 			_, _ = x.Write([]byte{0})
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -79,6 +79,9 @@
 	EndpointsDigest uint64
 	// ModelsDigest is the digest of the models in the endpoints' registrations.
 	ModelsDigest uint64
+	// EndpointsGapAt is the end of the last gap of more than resume.MaxViewAge between two
+	// confirmations of the endpoints, or zero.
+	EndpointsGapAt time.Time
 	// EndpointsUncertain is set while Endpoints may include some that the store no longer lists.
 	EndpointsUncertain bool
 }
@@ -219,6 +222,7 @@
 		w.logChanges(before, reg.endpoints)
 		sum, models := endpointsDigest(reg.endpoints), modelsDigest(reg.endpoints)
 		v := w.update(func(v *View) {
+			v.recordGap(reg.confirmedAt)
 			v.Endpoints, v.EndpointsConfirmedAt, v.StoreVersion, v.EndpointsUncertain = reg.endpoints, reg.confirmedAt, version, reg.confirmedAt.Before(reg.graceUntil)
 			v.EndpointsDigest, v.ModelsDigest = sum, models
 		})
@@ -251,9 +255,9 @@
 func (w *Watcher) logChanges(before, after map[string]fleet.Endpoint) {
 	for id, e := range after {
 		old, ok := before[id]
-		if !ok || old.Leaving != e.Leaving || old.Incarnation != e.Incarnation {
+		if !ok || old.Leaving != e.Leaving || old.IncarnationID() != e.IncarnationID() {
 			w.log.WithFields(logrus.Fields{
-				"endpoint": id, "service": e.Service, "address": e.Address, "leaving": e.Leaving, "notice": e.PreemptionNotice, "born": e.Incarnation,
+				"endpoint": id, "service": e.Service, "address": e.Address, "leaving": e.Leaving, "notice": e.PreemptionNotice, "born": e.Incarnation, "version": e.SoftwareVersion,
 			}).Info("endpoint listed")
 		}
 	}
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -30,10 +30,15 @@
 	// Endpoint is the endpoint's id, Incarnation the time of its start as in Endpoint.
 	Endpoint    string
 	Incarnation int64
+	// SoftwareVersion is that of the endpoint: one that returns with another version is another
+	// incarnation, whatever its start.
+	SoftwareVersion string
 }
 
 // IncarnationID returns the identity of the endpoint's current life.
-func (e Endpoint) IncarnationID() IncarnationID { return IncarnationID{e.ID, e.Incarnation} }
+func (e Endpoint) IncarnationID() IncarnationID {
+	return IncarnationID{e.ID, e.Incarnation, e.SoftwareVersion}
+}
 
 // Resident is a model that is resident on an endpoint, with its resident adapters.
 type Resident struct {
--- /dev/null
+++ b/internal/state/resume/record.go
@@ -0,0 +1,101 @@
+package resume
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// RecordTTL is how long a record lasts after it was last put: a caller resumes within the time
+	// limit of its request, which is shorter.
+	RecordTTL = 30 * time.Second
+	// MaxRecords bounds the records of one process, 100 times what a gateway is designed for.
+	MaxRecords = 65536
+)
+
+// Record says which service and software version began a stream.
+type Record struct {
+	// Key identifies the stream; it is KeyOf of a request id.
+	Key              uint64
+	Service, Version string
+}
+
+// KeyOf returns the key of the stream whose first event the request with an id got.
+func KeyOf(requestID string) uint64 { return xxhash.Sum64String(requestID) }
+
+// Records holds the newest records. It is safe for concurrent use.
+type Records struct {
+	mu    sync.Mutex
+	byKey map[uint64]*list.Element
+	// order holds the entries, those put last at the front.
+	order *list.List
+}
+
+type entry struct {
+	record Record
+	putAt  time.Time
+	// ambiguous is set once two versions were recorded under the key: request ids are unique, so
+	// one of the callers took the other's, and either could be joined to the wrong version.
+	ambiguous bool
+}
+
+// NewRecords returns an empty set of records.
+func NewRecords() *Records { return &Records{byKey: map[uint64]*list.Element{}, order: list.New()} }
+
+// Put adds or refreshes a record.
+func (r *Records) Put(rec Record, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(now)
+	if el, ok := r.byKey[rec.Key]; ok {
+		e := el.Value.(*entry)
+		e.ambiguous = e.ambiguous || e.record != rec
+		e.putAt = now
+		r.order.MoveToFront(el)
+		return
+	}
+	r.byKey[rec.Key] = r.order.PushFront(&entry{record: rec, putAt: now})
+	if r.order.Len() > MaxRecords {
+		r.remove(r.order.Back())
+	}
+}
+
+// Get returns the record with a key, unless it is ambiguous or has expired.
+func (r *Records) Get(key uint64, now time.Time) (Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(now)
+	el, ok := r.byKey[key]
+	if !ok || el.Value.(*entry).ambiguous {
+		return Record{}, false
+	}
+	return el.Value.(*entry).record, true
+}
+
+// OfService returns the records of a service.
+func (r *Records) OfService(service string, now time.Time) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(now)
+	var out []Record
+	for el := r.order.Front(); el != nil; el = el.Next() {
+		if e := el.Value.(*entry); e.record.Service == service && !e.ambiguous {
+			out = append(out, e.record)
+		}
+	}
+	return out
+}
+
+// drop drops the records that have expired; the caller holds mu.
+func (r *Records) drop(now time.Time) {
+	for el := r.order.Back(); el != nil && now.Sub(el.Value.(*entry).putAt) >= RecordTTL; el = r.order.Back() {
+		r.remove(el)
+	}
+}
+
+func (r *Records) remove(el *list.Element) {
+	delete(r.byKey, r.order.Remove(el).(*entry).record.Key)
+}
--- /dev/null
+++ b/internal/state/resume/resume_test.go
@@ -0,0 +1,167 @@
+package resume
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"chervilhead/internal/state/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+// TestRecords guards against records that last too long, fill the memory or tell one caller's version for another's.
+func TestRecords(t *testing.T) {
+	r := NewRecords()
+	one := Record{1, "s", "one"}
+	r.Put(one, at(0))
+	r.Put(Record{2, "s", "two"}, at(0))
+	r.Put(one, at(20))
+	if got, ok := r.Get(1, at(49)); !ok || got != one {
+		t.Errorf("a refreshed record: %v, %v", got, ok)
+	}
+	if _, ok := r.Get(2, at(30)); ok {
+		t.Error("a record lasts for 30 s or more")
+	}
+	r.Put(Record{1, "s", "two"}, at(49))
+	r.Put(one, at(49))
+	if got, ok := r.Get(1, at(49)); ok || len(r.OfService("s", at(49))) != 0 {
+		t.Errorf("two versions under one key: got %v, want none", got)
+	}
+	for i := range uint64(MaxRecords + 1) {
+		r.Put(Record{100 + i, "s", "one"}, at(50))
+	}
+	_, oldest := r.Get(100, at(50))
+	_, second := r.Get(101, at(50))
+	if n := len(r.OfService("s", at(50))); n != MaxRecords || oldest || !second {
+		t.Errorf("%d records kept, the oldest %v, the second %v", n, oldest, second)
+	}
+}
+
+func endpoints(versions ...string) map[string]fleet.Endpoint {
+	out := map[string]fleet.Endpoint{}
+	for _, v := range versions {
+		out[v] = fleet.Endpoint{ID: v, Service: "s", SoftwareVersion: v}
+	}
+	return out
+}
+
+// TestSettled guards against a service that counts as settled while streams of another version may be resumed, and against one that never settles.
+func TestSettled(t *testing.T) {
+	rowOf := func(entries map[string]RowEntry) Row { return Row{"s": entries} }
+	for _, tc := range []struct {
+		name string
+		row  Row
+		// reads are the versions read each second from the start on; the last is read until now.
+		reads   [][]string
+		now     float64
+		viewAge time.Duration
+		gapAt   float64
+		want    string
+		settled bool
+	}{
+		{"one version", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one"}}, 1, 0, -1, "one", true},
+		{"the empty version", rowOf(map[string]RowEntry{"": {Present: true}}), [][]string{{""}}, 1, 0, -1, "", true},
+		{"two versions", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one", "two"}}, 100, 0, -1, "", false},
+		{"no row, just started", nil, [][]string{{"one"}}, 29, 0, -1, "", false},
+		{"no row, started long ago", nil, [][]string{{"one"}}, 31, 0, -1, "one", true},
+		{"a service that the row lacks", Row{"o": {}}, [][]string{{"one"}}, 29, 0, -1, "", false},
+		{"one has gone", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one", "two"}, {"two"}}, 30, 0, -1, "", false},
+		{"one went long ago", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one", "two"}, {"two"}}, 32, 0, -1, "two", true},
+		{"the row's version is missing", rowOf(map[string]RowEntry{"one": {Present: true}, "two": {Present: true}}), [][]string{{"two"}}, 29, 0, -1, "", false},
+		{"it was missing for long", rowOf(map[string]RowEntry{"one": {Present: true}, "two": {Present: true}}), [][]string{{"two"}}, 31, 0, -1, "two", true},
+		{"gone in the row, without a time", rowOf(map[string]RowEntry{"one": {}, "two": {Present: true}}), [][]string{{"two"}}, 29, 0, -1, "", false},
+		{"gone in the row long ago", rowOf(map[string]RowEntry{"one": {GoneFor: 31 * time.Second}, "two": {Present: true}}), [][]string{{"two"}}, 1, 0, -1, "two", true},
+		{"the view is old", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one"}}, 100, 2 * time.Second, -1, "", false},
+		{"after a gap", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one"}}, 100, 0, 71, "", false},
+		{"long after a gap", rowOf(map[string]RowEntry{"one": {Present: true}}), [][]string{{"one"}}, 100, 0, 69, "one", true},
+		{"nothing registered", rowOf(nil), [][]string{{}}, 100, 0, -1, "", false},
+	} {
+		for _, rowFirst := range []bool{true, false} {
+			h := NewHistory(start)
+			if rowFirst && tc.row != nil {
+				h.Restore(tc.row)
+			}
+			for i := 0; float64(i) <= tc.now; i++ {
+				h.Observe(endpoints(tc.reads[min(i, len(tc.reads)-1)]...), at(float64(i)))
+			}
+			if !rowFirst && tc.row != nil {
+				h.Restore(tc.row)
+			}
+			c := Confirmation{At: at(tc.now).Add(-tc.viewAge)}
+			if tc.gapAt >= 0 {
+				c.GapAt = at(tc.gapAt)
+			}
+			if got, settled := h.Settled("s", c, at(tc.now)); settled != tc.settled || settled && got != tc.want {
+				t.Errorf("%s, row first %v: version %q, settled %v; want %q, %v", tc.name, rowFirst, got, settled, tc.want, tc.settled)
+			}
+		}
+	}
+}
+
+// TestDecide guards against a decision from less than what is known.
+func TestDecide(t *testing.T) {
+	named, rec := ParseMention([]string{"r1"}), Record{KeyOf("r1"), "s", "one"}
+	for _, tc := range []struct {
+		name string
+		e    Evidence
+		want Decision
+	}{
+		{"own record", Evidence{Mention: named, Record: rec, Source: OwnRecord}, Continue{"one"}},
+		{"keeper's record", Evidence{Mention: named, Record: rec, Source: KeeperRecord}, Continue{"one"}},
+		{"record of another version than the settled one", Evidence{Mention: named, Record: rec, Source: KeeperRecord, Settled: true, SettledVersion: "two"}, Continue{"one"}},
+		{"record of another service", Evidence{Mention: named, Record: Record{1, "o", "one"}, Source: OwnRecord}, Reject{"resumes_other_service"}},
+		{"record of another service, settled", Evidence{Mention: named, Record: Record{1, "o", "one"}, Source: OwnRecord, Settled: true, SettledVersion: "two"}, Continue{"two"}},
+		{"settled", Evidence{Mention: Missing{}, Source: NoRecord, Settled: true, SettledVersion: "two"}, Continue{"two"}},
+		{"settled at the empty version", Evidence{Mention: named, Source: KeepersSilent, Settled: true}, Continue{""}},
+		{"missing", Evidence{Mention: Missing{}, Source: NoRecord}, Reject{"resumes_missing"}},
+		{"malformed", Evidence{Mention: ParseMention([]string{strings.Repeat("r", 201)}), Source: NoRecord}, Reject{"resumes_malformed"}},
+		{"two values", Evidence{Mention: ParseMention([]string{"r1", "r2"}), Source: NoRecord}, Reject{"resumes_malformed"}},
+		{"unknown", Evidence{Mention: named, Source: NoRecord}, Reject{"resumes_unknown"}},
+		{"keepers silent", Evidence{Mention: named, Source: KeepersSilent}, Reject{"keepers_silent"}},
+	} {
+		tc.e.Service = "s"
+		if got := Decide(tc.e); got != tc.want {
+			t.Errorf("%s: %#v, want %#v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestAtVersion guards against a stream that continues at an endpoint that was restarted with another version, and against leaving out all endpoints of a version whose connections break for other reasons.
+func TestAtVersion(t *testing.T) {
+	confirmed := at(10)
+	state := func(id string, reported int64, reportedAt time.Time) fleet.State {
+		s := fleet.State{Endpoint: fleet.Endpoint{ID: id, Service: "s", SoftwareVersion: "one", Incarnation: 5}}
+		if reported != 0 {
+			s.StatusSupersedes, s.Status = true, fleet.Status{Incarnation: reported, ReceivedAt: reportedAt}
+		}
+		return s
+	}
+	other := state("other", 0, start)
+	other.SoftwareVersion = "two"
+	for _, tc := range []struct {
+		name   string
+		states []fleet.State
+		broke  map[string]time.Time
+		want   string
+	}{
+		{"of the version", []fleet.State{state("a", 0, start), other, state("b", 5, at(9))}, nil, "a b"},
+		{"its keeper reports another start", []fleet.State{state("a", 6, at(9)), state("b", 5, at(9))}, nil, "b"},
+		{"its connection broke", []fleet.State{state("a", 5, at(9)), state("b", 5, at(9))}, map[string]time.Time{"a": at(8.9)}, "b"},
+		{"the only one's connection broke", []fleet.State{state("a", 5, at(9))}, map[string]time.Time{"a": at(8.9)}, ""},
+		{"its keeper reported it since", []fleet.State{state("a", 5, at(9.5))}, map[string]time.Time{"a": at(9)}, "a"},
+		{"it has no keeper", []fleet.State{state("a", 0, start), state("b", 0, start)}, map[string]time.Time{"a": at(9)}, "b"},
+		{"none has a keeper and all broke", []fleet.State{state("a", 0, start), state("b", 0, start)}, map[string]time.Time{"a": at(9), "b": at(9)}, "a b"},
+		{"its registration was confirmed since", []fleet.State{state("a", 5, at(1))}, map[string]time.Time{"a": at(6)}, "a"},
+	} {
+		var got []string
+		for _, s := range AtVersion(tc.states, "s", "one", func(e fleet.Endpoint) time.Time { return tc.broke[e.ID] }, confirmed) {
+			got = append(got, s.ID)
+		}
+		if strings.Join(got, " ") != tc.want {
+			t.Errorf("%s: got %v, want %q", tc.name, got, tc.want)
+		}
+	}
+}
