dgram, keeper: records of streams at keepers

Cause: what a gateway knows of a stream's version is lost with it.

TestStreamRecords, TestRoundTrip and the keeper's tests pass.

--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -16,8 +16,8 @@
 // MaxBytes bounds a datagram, so that it fits one packet of a local network with room to spare.
 const MaxBytes = 8192
 
-// Message is one of *KeeperRequest, *EndpointState, *Demand and *PlannerStatus. Fields are
-// encoded in order, without their names.
+// Message is one of *KeeperRequest, *EndpointState, *Demand, *PlannerStatus, *StreamRecords and
+// *StreamQuery. Fields are encoded in order, without their names.
 type Message interface{ kind() byte }
 
 // KeeperRequest is a gateway's request to a keeper; it also subscribes the gateway to the
@@ -222,6 +222,10 @@
 		m = &Demand{}
 	case (*PlannerStatus)(nil).kind():
 		m = &PlannerStatus{}
+	case (*StreamRecords)(nil).kind():
+		m = &StreamRecords{}
+	case (*StreamQuery)(nil).kind():
+		m = &StreamQuery{}
 	default:
 		return nil, errInvalidMessage
 	}
--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -11,6 +11,8 @@
 	&EndpointState{Address: "10.0.0.1:1", Endpoint: "e", KeeperIncarnation: 3, MessageSequence: 4, Alive: true, Models: []Model{{Name: "m", Version: 1, Adapters: []string{"a"}}}, Gateways: 2},
 	&Demand{Gateway: "g", GatewayIncarnation: 1, MessageSequence: 2, Models: []ModelDemand{{Service: "s", Model: "m", OfferedLoad: 0.5, Waiting: 1}}},
 	&PlannerStatus{StoreVersion: 8, EndpointsDigest: 1 << 63, ConfigVersion: 3, ConfigConfirmedAge: time.Second, Resigned: true},
+	&StreamRecords{Query: 1 << 63, Streams: []VersionStreams{{Service: "s", Version: "v", Keys: []uint64{1, 1 << 63}}}},
+	&StreamQuery{Query: 5, Key: 1 << 63},
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -14,6 +14,7 @@
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/dgram"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/resume"
 )
 
 // Settings are the settings of a keeper.
@@ -108,6 +109,8 @@
 	// report.
 	cachedPrefixes map[uint64]time.Time
 	crashRecords   crashRecords
+	// streams are the records of streams that gateways sent.
+	streams        *resume.Records
 	acceptedOrders []acceptedOrder
 	restoreModels  []string
 	// engineStartedAt is when this keeper first saw the engine's current incarnation.
@@ -131,7 +134,7 @@
 	return &Keeper{
 		cfg: cfg, engine: engine, src: src, conn: conn, log: log, wake: make(chan struct{}, 1), configWake: make(chan struct{}, 1), incarnation: time.Now().UnixNano(),
 		subscribers:    map[string]*subscriber{},
-		wantedAdapters: map[fleet.ModelName]time.Time{}, lastUsed: map[fleet.ModelName]time.Time{}, refusedAdapters: map[fleet.ModelName]time.Time{}, cachedPrefixes: map[uint64]time.Time{}, crashRecords: crashRecords{},
+		wantedAdapters: map[fleet.ModelName]time.Time{}, lastUsed: map[fleet.ModelName]time.Time{}, refusedAdapters: map[fleet.ModelName]time.Time{}, cachedPrefixes: map[uint64]time.Time{}, crashRecords: crashRecords{}, streams: resume.NewRecords(),
 	}, nil
 }
 
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -32,17 +32,25 @@
 	}
 }
 
-// handleDatagram applies a gateway's request, or drops a datagram that is none.
+// handleDatagram applies a gateway's message, or drops a datagram that is none.
 func (k *Keeper) handleDatagram(data []byte, from net.Addr) {
 	msg, err := dgram.Decode(data)
 	if err != nil {
 		k.log.WithError(err).WithField("from", from.String()).Debug("a datagram was dropped")
 		return
 	}
-	req, ok := msg.(*dgram.KeeperRequest)
-	if !ok {
-		return
+	switch msg := msg.(type) {
+	case *dgram.KeeperRequest:
+		k.handleRequest(msg, from)
+	case *dgram.StreamRecords:
+		k.putStreams(msg, time.Now())
+	case *dgram.StreamQuery:
+		k.replyStream(msg, from, time.Now())
 	}
+}
+
+// handleRequest applies a gateway's request and subscribes the gateway.
+func (k *Keeper) handleRequest(req *dgram.KeeperRequest, from net.Addr) {
 	k.mu.Lock()
 	urgent := k.applyRequest(req, from.String(), time.Now())
 	k.subscribe(req, from, time.Now())
