proxy, control, node: a stream continues only at the version that began it

Cause: a gateway forwarded a resumption, and its own continuation within one response, to any endpoint of the service.

Once an event was passed on, only endpoints of its service and version are candidates. A resumption is bound to the version of its stream's record, which the gateway or a keeper has, or to the only version of a settled service; else it is rejected at once. The planner's gateway keeps the row versions, and a gateway reads it once at its start. Rejected and redirected resumptions are logged and counted.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -94,7 +94,10 @@
 	}
 	var plane *control.Plane
 	w := watch.New(src, watch.Timing{ConfigWait: cfg.Store.ConfigWait, EndpointPoll: cfg.Store.EndpointPoll, RetryDelay: storeRetryDelay, MaxRetryDelay: maxStoreRetryDelay, OwnReadInterval: ownReadInterval},
-		func(v *watch.View) { plane.UpdateView(v) }, log)
+		func(v *watch.View) {
+			plane.UpdateView(v)
+			g.handler.ObserveVersions(v)
+		}, log)
 	plane, err := control.New(control.Settings{
 		GatewayID: cfg.ID, Listen: cfg.Listen.Datagrams, KeeperPort: cfg.KeeperPort, ModelLoadWindow: cfg.ModelLoadLimit.Window, SubscribeInterval: subscribeInterval, DemandInterval: demandInterval,
 	}, w.View, lease.New(src, lease.Settings{Key: "planner", Holder: cfg.Listen.Datagrams, Term: cfg.Store.LeaseTerm, Margin: orderDelay}), src, log)
@@ -107,7 +110,7 @@
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
-	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord})
+	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord, RestoreVersions: g.handler.RestoreVersions})
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -21,6 +21,7 @@
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/notice"
 	"chervilhead/internal/state/poison"
+	"chervilhead/internal/state/resume"
 	"chervilhead/internal/transport/proxy"
 )
 
@@ -117,6 +118,8 @@
 	demand       *demandMeter
 	planner      *planner
 	configHashes engineConfigHashes
+	// streamQueries are the queries for records of streams that wait for keepers.
+	streamQueries streamQueries
 	// byID holds the endpoints of sortedView in order of their ids.
 	byID       []fleet.Endpoint
 	sortedView *watch.View
@@ -167,6 +170,8 @@
 	// gateways.
 	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
 	MergeCrashRecord func(rec poison.CrashRecord)
+	// RestoreVersions takes the software versions that the store's row names, once; it may be nil.
+	RestoreVersions func(resume.Row)
 }
 
 // SetHooks sets the hooks. It must be called before Run.
@@ -183,6 +188,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { p.receive(ctx) })
 	wg.Go(func() { p.planner.run(ctx) })
+	wg.Go(func() { p.restoreVersions(ctx) })
 	wg.Go(func() {
 		tick := time.NewTicker(p.cfg.SubscribeInterval / ticksPerSubscription)
 		defer tick.Stop()
--- a/internal/transport/control/planner.go
+++ b/internal/transport/control/planner.go
@@ -116,7 +116,8 @@
 	// savedAt is when the demand was last saved.
 	savedAt time.Time
 	// announcedAt is when another gateway last announced itself as the planner.
-	announcedAt time.Time
+	announcedAt    time.Time
+	versionsWriter versionsWriter
 	// wake is signalled when another gateway announces that it resigned or yielded the lease.
 	wake chan struct{}
 	// refreshFailures counts the refreshes of the lease in a row that got no answer.
@@ -193,6 +194,7 @@
 				p.yieldIfFailing(time.Now())
 			}
 		}
+		p.keepVersions(ctx, time.Now())
 		t := time.NewTimer(leaseCheckInterval)
 		select {
 		case <-t.C:
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -98,6 +98,8 @@
 	switch m := m.(type) {
 	case *dgram.EndpointState:
 		p.handleEndpointState(m)
+	case *dgram.StreamRecords:
+		p.streamQueries.handleReply(m, from)
 	case *dgram.Demand:
 		p.planner.handleDemand(m, from)
 	case *dgram.PlannerStatus:
--- /dev/null
+++ b/internal/transport/control/versions_test.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/resume"
+)
+
+// withVersions makes the cluster's endpoints be of versions; the empty string leaves one out.
+func (c *cluster) withVersions(versions ...string) {
+	old := c.view.Load()
+	v := *old
+	v.EndpointsConfirmedAt, v.Endpoints = time.Now(), map[string]fleet.Endpoint{}
+	for i, version := range versions {
+		id := fmt.Sprint("e", i)
+		if e, ok := old.Endpoints[id]; ok && version != "" {
+			e.SoftwareVersion = version
+			v.Endpoints[id] = e
+		}
+	}
+	c.view.Store(&v)
+	c.plane.UpdateView(&v)
+}
+
+func (c *cluster) savedVersions(t *testing.T) map[string]savedVersion {
+	t.Helper()
+	row, err := c.store.Get(context.Background(), versionsKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s savedVersions
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s["s"]
+}
+
+// TestVersionsRow guards against versions that nobody knows of after a loss of all gateways, and against a write of the row for anything but a change.
+func TestVersionsRow(t *testing.T) {
+	c := startCluster(t, clusterConfig("a"), []string{"a"}, []string{"a"})
+	c.withVersions("one", "one")
+	until(t, "the row names version one", func() bool {
+		return reflect.DeepEqual(c.savedVersions(t), map[string]savedVersion{"one": {Present: true}})
+	})
+	c.withVersions("one", "two")
+	until(t, "the row names version two", func() bool { return len(c.savedVersions(t)) == 2 })
+	c.withVersions("", "two")
+	until(t, "version one is gone", func() bool {
+		return reflect.DeepEqual(c.savedVersions(t), map[string]savedVersion{"one": {}, "two": {Present: true}})
+	})
+	version := func() uint64 {
+		row, err := c.store.Get(context.Background(), versionsKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return row.Version
+	}
+	before := version()
+	time.Sleep(4 * leaseCheckInterval)
+	if version() != before {
+		t.Error("the row was written without a change")
+	}
+	saved, found, err := readVersions(context.Background(), c.store)
+	if err != nil || !found {
+		t.Fatalf("the row was not read: found %v, error %v", found, err)
+	}
+	h := resume.NewHistory(time.Now())
+	h.Restore(saved.row(0, 0))
+	h.Observe(c.view.Load().Endpoints, time.Now())
+	if v, settled := h.Settled("s", resume.Confirmation{At: time.Now()}, time.Now()); settled {
+		t.Errorf("a gateway that starts when version one has left takes %q for the only version", v)
+	}
+}
+
+// TestVersionsRowTimes guards against a version that counts for longer than the store's clock says, or for less if it has none.
+func TestVersionsRowTimes(t *testing.T) {
+	s := savedVersions{"s": {"old": {GoneAtMS: 10_000}, "untimed": {}, "new": {Present: true}}}
+	for _, tc := range []struct {
+		nowMS int64
+		want  time.Duration
+	}{{50_000, 38 * time.Second}, {0, 0}, {5_000, 0}} {
+		got := s.row(tc.nowMS, 2*time.Second)["s"]
+		want := map[string]resume.RowEntry{"old": {GoneFor: tc.want}, "untimed": {}, "new": {Present: true}}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("at %d ms: %v, want %v", tc.nowMS, got, want)
+		}
+	}
+	w := versionsWriter{versions: map[string]map[string]knownVersion{"s": {"old": {goneAt: time.Unix(1000, 0)}, "new": {saved: savedVersion{Present: true}}}}}
+	later := time.Unix(1000, 0).Add(goneVersionTTL)
+	if next, changed := w.next(map[string]map[string]bool{"s": {"new": true}}, 0, later); changed || len(next["s"]) != 1 {
+		t.Errorf("after a minute: changed %v, versions %v; want no write, and the old version left out of the next", changed, next)
+	}
+}
+
+// TestStreamRecordAtKeepers guards against a record of a stream that a gateway lacks and the keepers don't return, also after an engine left and with a keeper lost.
+func TestStreamRecordAtKeepers(t *testing.T) {
+	c := startCluster(t, clusterConfig("a"), []string{"a"}, []string{"a"}, []string{"a"}, []string{"a"}, []string{"a"})
+	c.withVersions("one", "one", "two", "two", "two")
+	ctx := context.Background()
+	var recs []resume.Record
+	for i := range 50 {
+		recs = append(recs, resume.Record{Key: resume.KeyOf(fmt.Sprint("r", i)), Service: "s", Version: fmt.Sprint("v", i%2)})
+	}
+	c.plane.SendStreamRecords("s", recs)
+	time.Sleep(50 * time.Millisecond)
+	check := func(when string) {
+		t.Helper()
+		for _, rec := range recs {
+			if got, source := c.plane.QueryStreamRecord(ctx, "s", rec.Key); source != resume.KeeperRecord || got != rec {
+				t.Errorf("%s: got %+v from %v, want %+v", when, got, source, rec)
+			}
+		}
+	}
+	check("all engines")
+	c.withVersions("", "one", "two", "two", "two")
+	check("an engine has left")
+	began := time.Now()
+	if _, source := c.plane.QueryStreamRecord(ctx, "s", 7); source != resume.NoRecord {
+		t.Errorf("an unknown stream: source %v, want none", source)
+	}
+	if took := time.Since(began); took > streamQueryTimeout {
+		t.Errorf("an unknown stream took %v, want an answer as soon as all keepers replied", took)
+	}
+	v := *c.view.Load()
+	lost := v.Endpoints["e4"]
+	lost.Address = "127.0.0.99:9"
+	v.Endpoints = map[string]fleet.Endpoint{"e1": v.Endpoints["e1"], "e4": lost}
+	c.view.Store(&v)
+	began = time.Now()
+	if _, source := c.plane.QueryStreamRecord(ctx, "s", 7); source != resume.KeepersSilent {
+		t.Errorf("with a keeper that doesn't answer: source %v, want silent", source)
+	}
+	if took := time.Since(began); took > streamQueryTimeout+40*time.Millisecond {
+		t.Errorf("a silent keeper held the query for %v, want 60 ms", took)
+	}
+}
+
+// TestStreamRecordDatagrams guards against records that don't fit a datagram.
+func TestStreamRecordDatagrams(t *testing.T) {
+	keys := make([]uint64, 2000)
+	for i := range keys {
+		keys[i] = 1<<63 + uint64(i)
+	}
+	n := 0
+	for _, m := range dgram.NewStreamRecords("service", "version", keys) {
+		if _, err := dgram.Encode(m); err != nil {
+			t.Fatal(err)
+		}
+		n += len(m.Streams[0].Keys)
+	}
+	if n != len(keys) {
+		t.Errorf("%d keys in the messages, want %d", n, len(keys))
+	}
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -139,7 +139,7 @@
 	}
 	for _, s := range h.control.States() {
 		if s.ID == e.ID {
-			return !s.Leaving && s.Incarnation == e.Incarnation
+			return !s.Leaving && s.IncarnationID() == e.IncarnationID()
 		}
 	}
 	return false
@@ -157,12 +157,16 @@
 	if service.Engine != nil {
 		slots, adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
 	}
+	states := h.states(c)
+	if versionGone(c, states) {
+		return h.rejectVersionGone(c)
+	}
 	now := time.Now()
 	gateways := h.control.GatewayCount()
 	c.req.Gateways = gateways
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
-	candidates := h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
+	candidates := h.tracker.candidates(states, slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
 	latency := h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
 	if service.Engine != nil {
 		latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
@@ -191,6 +195,7 @@
 		return chooseAgain{}
 	}
 	c.choice = ch
+	h.recordRedirect(c, latency, slots, adapterSlots, now)
 	if !c.demandRecorded && len(c.req.Tried) == 0 && c.req.ModelName.Model != "" {
 		c.demandRecorded = true
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, ch.PrefillTokens, c.req.OutputTokens)
@@ -248,6 +253,7 @@
 	c.req.Tried = append(c.req.Tried, e.ID)
 	h.logFailedAttempt(c, res)
 	if res.connectionBroken {
+		h.tracker.recordBroken(e)
 		h.recordCrash(c, time.Now())
 		h.recordPartCrash(c, e, time.Now())
 	}
@@ -340,7 +346,7 @@
 // awaitModel waits for a model that is resident on no usable endpoint. If its load can't end
 // in time it rejects the request, with a Retry-After at which the load may have ended.
 func (h *Handler) awaitModel(c *call, service fleet.Service) bool {
-	ready := replica.TimeToReady(service.Engine.Models[c.req.ModelName.Model], service.Name, h.control.States())
+	ready := replica.TimeToReady(service.Engine.Models[c.req.ModelName.Model], service.Name, h.states(c))
 	maxWait := maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout())
 	if ready > maxWait || time.Since(c.began) > maxWait {
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, c.req.PromptTokens(), c.req.OutputTokens)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -19,6 +19,7 @@
 	"chervilhead/internal/state/jitter"
 	"chervilhead/internal/state/pick"
 	"chervilhead/internal/state/poison"
+	"chervilhead/internal/state/resume"
 )
 
 // ControlPlane gives the handler the endpoints' live states and takes its reports of demand
@@ -47,6 +48,10 @@
 	// RecordLeaving records that an endpoint incarnation said that it leaves, and reports whether
 	// that is new.
 	RecordLeaving(e fleet.Endpoint) bool
+	// SendStreamRecords sends records of streams to the keepers that hold them.
+	SendStreamRecords(service string, recs []resume.Record)
+	// QueryStreamRecord asks the keepers for the record of a stream and waits a bounded time.
+	QueryStreamRecord(ctx context.Context, service string, key uint64) (resume.Record, resume.Source)
 	// GatewayCount returns the number of gateways, or a default until it is known.
 	GatewayCount() int
 }
@@ -72,6 +77,7 @@
 	pool          *http1.Pool
 	tracker       *tracker
 	poisonTracker *poisonTracker
+	versions      *streamVersions
 	log           *logrus.Entry
 	metrics       *Metrics
 
@@ -81,7 +87,7 @@
 
 // New returns a handler that reads the configuration and endpoints from view.
 func New(cfg Settings, view func() *watch.View, control ControlPlane, pool *http1.Pool, metrics *Metrics, log *logrus.Entry) *Handler {
-	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics}
+	return &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), versions: newStreamVersions(), log: log, metrics: metrics}
 }
 
 // draw returns a random number in [0, 1).
@@ -115,6 +121,8 @@
 	}
 	h.tracker.retain(func(id string) bool { return known[id] })
 	h.pool.EvictIdle(time.Now(), func(key string) bool { return known[key] })
+	// A service becomes unsettled without a new view if the store falls silent.
+	h.shareRecords()
 }
 
 // maxBodyBytes bounds the request bodies in memory to a fifth of a small host's memory. It is
@@ -143,6 +151,15 @@
 	reportAge     time.Duration
 	configVersion uint64
 	lastEventID   string
+	// resumes is what is known of the stream that the request resumes, nil if it begins one.
+	resumes *resume.Evidence
+	// bound is set while only endpoints of the software version may get the request.
+	bound   bool
+	version string
+	// recordedAt is when the record of the request's stream was last put.
+	recordedAt time.Time
+	// redirectChecked is set once the choice was compared with the one without versions.
+	redirectChecked bool
 	// cachedFingerprint is set by fingerprint.
 	cachedFingerprint string
 	// partKeys identify the prompt parts that other requests may hold too.
@@ -209,7 +226,8 @@
 	c.route, c.configVersion = route, v.Config.Version
 	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
 	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
-	service, ok := v.Config.Service(route.PickService(h.draw()))
+	h.findStream(c)
+	service, ok := v.Config.Service(h.pickService(c))
 	if !ok {
 		h.reject(c, "no_service", startRetryAfter)
 		return
@@ -225,7 +243,9 @@
 	c.ctx = ctx
 	c.req = h.parseRequest(c, service)
 	h.tracker.recordFirstAttempt(service.Name)
-	h.serve(c, service)
+	if h.bindVersion(c) {
+		h.serve(c, service)
+	}
 	h.recordOutcome(c)
 }
 
@@ -334,5 +354,5 @@
 func poolKey(e fleet.Endpoint) string { return incarnationPoolKey(e.IncarnationID()) }
 
 func incarnationPoolKey(id fleet.IncarnationID) string {
-	return id.Endpoint + "/" + strconv.FormatInt(id.Incarnation, 36)
+	return id.Endpoint + "/" + strconv.FormatInt(id.Incarnation, 36) + "/" + id.SoftwareVersion
 }
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -30,7 +30,7 @@
 var testHeaders = HeaderNames{
 	RequestID: "Test-Request", Deadline: "Test-Deadline", Model: "Test-Model", TokenCounts: "Test-Tokens", PromptPrefix: "Test-Prompt",
 	LengthHint: "Test-Length", Signature: "Test-Signature", NotRun: "Test-Not-Run", ExpectInstance: "Test-Instance", InstanceID: "Test-Self",
-	RateLimit: "Test-Limit", Leaving: "Test-Leaving", Priority: "Test-Priority", LastEventID: "Last-Event-Id", Reserved: []string{"Test-Instance", "Test-Priority", "Test-Hold"},
+	RateLimit: "Test-Limit", Leaving: "Test-Leaving", Priority: "Test-Priority", LastEventID: "Last-Event-Id", Resumes: "Resumes", Reserved: []string{"Test-Instance", "Test-Priority", "Test-Hold"},
 }
 
 // serveFunc handles a request as an endpoint, on the connection on which it came.
--- a/internal/transport/proxy/headers.go
+++ b/internal/transport/proxy/headers.go
@@ -35,6 +35,9 @@
 	// Priority holds the request's priority at an engine; 0 goes first.
 	Priority    string
 	LastEventID string
+	// Resumes holds the id of the request that got the first event of the stream that the
+	// request resumes.
+	Resumes string
 	// Reserved lists the fields that are removed from clients' requests because only the
 	// system sets them.
 	Reserved []string
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -17,6 +17,7 @@
 	notices          *prometheus.CounterVec
 	late             *prometheus.CounterVec
 	crashRecords     *prometheus.CounterVec
+	resumptions      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -42,7 +43,10 @@
 			Name: "chervilhead_gateway_crash_records_total", Help: "News of requests that may crash endpoints, by source: this gateway's own attempts or records received from others.",
 		}, []string{"source"}),
 	}
-	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords)
+	m.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chervilhead_gateway_resumptions_total", Help: "Resumptions of streams that were rejected, or went to another endpoint than a new stream, for their software version, by service and reason.",
+	}, []string{"service", "reason"})
+	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords, m.resumptions)
 	return m
 }
 
--- a/internal/transport/proxy/notice.go
+++ b/internal/transport/proxy/notice.go
@@ -91,6 +91,6 @@
 	req := c.req
 	req.Tried = nil
 	gateways := h.control.GatewayCount()
-	candidates := h.tracker.candidates(h.control.States(), 0, req, gateways, func(fleet.Endpoint) bool { return false })
+	candidates := h.tracker.candidates(h.states(c), 0, req, gateways, func(fleet.Endpoint) bool { return false })
 	return pick.PauseLeft(req, candidates, time.Now())
 }
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -121,6 +121,7 @@
 func (h *Handler) giveUp(c *call, last attemptFailed) {
 	switch {
 	case c.responseBegun:
+		h.refreshRecord(c)
 		h.abort(c, "stream_broken:"+last.reason)
 	case c.in.Context().Err() != nil:
 		c.outcome = "client_left"
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -57,6 +57,7 @@
 			}
 			c.lastEventAt = now
 			h.writeStreamHeader(c, resp)
+			h.recordEvent(c, e)
 			if parsed.LastID != "" {
 				c.lastEventID = parsed.LastID
 			}
@@ -66,6 +67,7 @@
 			}
 			if werr != nil {
 				c.outcome = "client_left"
+				h.refreshRecord(c)
 				return attemptDone{}
 			}
 			pending = append(pending[:0], pending[complete:]...)
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -36,7 +36,7 @@
 
 // endpointRecord is what is known of one endpoint incarnation.
 type endpointRecord struct {
-	incarnation               int64
+	incarnation               fleet.IncarnationID
 	inFlight                  int
 	prefilling, prefillTokens int
 	// sends are the latest requests to the endpoint with their tokens to prefill, oldest first.
@@ -44,6 +44,8 @@
 	health         health.Record
 	cachedPrefixes map[uint64]*list.Element
 	lru            *list.List
+	// brokeAt is when a connection to the endpoint last broke or could not be opened.
+	brokeAt time.Time
 	// usedAdapters are the adapters requested since the last takeUsedAdapters.
 	usedAdapters map[string]struct{}
 	// activeNames counts the requests in flight by model name.
@@ -103,9 +105,9 @@
 
 func (t *tracker) endpoint(e fleet.Endpoint) *endpointRecord {
 	r, ok := t.endpoints[e.ID]
-	if !ok || r.incarnation != e.Incarnation {
+	if !ok || r.incarnation != e.IncarnationID() {
 		// A new incarnation has an empty cache, and the requests in flight ended with the old one.
-		r = &endpointRecord{incarnation: e.Incarnation, cachedPrefixes: map[uint64]*list.Element{}, lru: list.New(), usedAdapters: map[string]struct{}{}, activeNames: map[string]int{}}
+		r = &endpointRecord{incarnation: e.IncarnationID(), cachedPrefixes: map[uint64]*list.Element{}, lru: list.New(), usedAdapters: map[string]struct{}{}, activeNames: map[string]int{}}
 		t.endpoints[e.ID] = r
 	}
 	return r
@@ -317,6 +319,7 @@
 	defer t.mu.Unlock()
 	r := t.endpoint(e)
 	r.health = r.health.WithConnectFailure(time.Now())
+	r.brokeAt = time.Now()
 }
 
 // recordLatency records a measured time to the first token, or to a plain response.
--- /dev/null
+++ b/internal/transport/proxy/versions.go
@@ -0,0 +1,276 @@
+package proxy
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/pick"
+	"chervilhead/internal/state/resume"
+)
+
+// recordRefresh is the time after which the record of a running stream is put again, a third of a
+// record's life, so that a lost datagram doesn't end it.
+const recordRefresh = resume.RecordTTL / 3
+
+// streamVersions is what the gateway knows of the versions of services and streams.
+type streamVersions struct {
+	records *resume.Records
+	history *resume.History
+
+	mu sync.Mutex
+	// shared holds, by service, what the keepers were last sent the records for.
+	shared map[string]sharedRecords
+}
+
+// sharedRecords is the state of a service at which all its records are sent to keepers again if
+// it changes.
+type sharedRecords struct {
+	unsettled bool
+	hosts     string
+}
+
+func newStreamVersions() *streamVersions {
+	return &streamVersions{records: resume.NewRecords(), history: resume.NewHistory(time.Now()), shared: map[string]sharedRecords{}}
+}
+
+// ObserveVersions takes a new view of the endpoints.
+func (h *Handler) ObserveVersions(v *watch.View) {
+	h.versions.history.Observe(v.Endpoints, time.Now())
+	h.shareRecords()
+}
+
+// RestoreVersions takes what the store's row of versions says of the time before the start.
+func (h *Handler) RestoreVersions(row resume.Row) { h.versions.history.Restore(row) }
+
+// settled returns the only version of a service, if it has one.
+func (h *Handler) settled(service string) (version string, settled bool) {
+	v := h.view()
+	return h.versions.history.Settled(service, resume.Confirmation{At: v.EndpointsConfirmedAt, GapAt: v.EndpointsGapAt}, time.Now())
+}
+
+// shareRecords sends keepers the records of each service that has become unsettled, or whose
+// engines' hosts have changed while it is unsettled.
+func (h *Handler) shareRecords() {
+	v := h.view()
+	if !v.HasConfig {
+		return
+	}
+	hosts := map[string][]string{}
+	for _, e := range v.Endpoints {
+		if host, _, err := net.SplitHostPort(e.Address); err == nil {
+			hosts[e.Service] = append(hosts[e.Service], host)
+		}
+	}
+	for name, svc := range v.Config.Services() {
+		if svc.Engine == nil {
+			continue
+		}
+		_, settled := h.settled(name)
+		slices.Sort(hosts[name])
+		now := sharedRecords{unsettled: !settled, hosts: strings.Join(slices.Compact(hosts[name]), " ")}
+		h.versions.mu.Lock()
+		before := h.versions.shared[name]
+		h.versions.shared[name] = now
+		h.versions.mu.Unlock()
+		if !now.unsettled || before == now {
+			continue
+		}
+		if recs := h.versions.records.OfService(name, time.Now()); len(recs) > 0 {
+			h.control.SendStreamRecords(name, recs)
+		}
+	}
+}
+
+// findStream looks up the record of the stream that a request resumes, if it resumes one.
+func (h *Handler) findStream(c *call) {
+	mention := resume.ParseMention(c.in.Header.Values(h.cfg.Headers.Resumes))
+	named, isNamed := mention.(resume.Named)
+	if c.route.Kind != fleet.Stream || !c.route.Resumable || c.in.Header.Get(h.cfg.Headers.LastEventID) == "" && c.in.Header.Get(h.cfg.Headers.Resumes) == "" {
+		return
+	}
+	c.resumes = &resume.Evidence{Mention: mention, Source: resume.NoRecord}
+	if !isNamed {
+		return
+	}
+	key := resume.KeyOf(named.ID)
+	if rec, ok := h.versions.records.Get(key, time.Now()); ok {
+		c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
+		return
+	}
+	type found struct {
+		record resume.Record
+		source resume.Source
+	}
+	replies := make(chan found, len(c.route.Targets))
+	for _, t := range c.route.Targets {
+		go func() {
+			rec, source := h.control.QueryStreamRecord(c.in.Context(), t.Service, key)
+			replies <- found{rec, source}
+		}()
+	}
+	for range c.route.Targets {
+		r := <-replies
+		if r.source == resume.NoRecord {
+			continue
+		}
+		c.resumes.Record, c.resumes.Source = r.record, r.source
+		if r.source == resume.KeeperRecord {
+			return
+		}
+	}
+}
+
+// pickService returns the service for a request: that of the stream that it resumes, or one of the
+// route's.
+func (h *Handler) pickService(c *call) string {
+	if c.resumes != nil {
+		for _, t := range c.route.Targets {
+			if t.Service == c.resumes.Record.Service {
+				return t.Service
+			}
+		}
+	}
+	return c.route.PickService(h.draw())
+}
+
+// bindVersion binds a resumption to the version of its stream; it rejects the request and returns
+// false if that isn't known.
+func (h *Handler) bindVersion(c *call) bool {
+	if c.resumes == nil {
+		return true
+	}
+	c.resumes.Service = c.req.Service
+	c.resumes.SettledVersion, c.resumes.Settled = h.settled(c.req.Service)
+	switch d := resume.Decide(*c.resumes).(type) {
+	case resume.Continue:
+		c.bound, c.version = true, d.Version
+		if c.resumes.Source != resume.NoRecord && c.resumes.Source != resume.KeepersSilent {
+			// A caller that goes on trying must find the record when the service has settled.
+			h.putRecord(c, c.resumes.Record)
+		}
+		return true
+	case resume.Reject:
+		h.logResumption(c, d.Reason)
+		h.reject(c, d.Reason, noEndpointRetryAfter)
+	}
+	return false
+}
+
+// putRecord keeps the record of a stream, and sends it to keepers unless all gateways can tell its
+// version.
+func (h *Handler) putRecord(c *call, rec resume.Record) {
+	now := time.Now()
+	c.recordedAt = now
+	h.versions.records.Put(rec, now)
+	version, settled := h.settled(rec.Service)
+	if !settled || version != rec.Version || len(c.route.Targets) > 1 {
+		h.control.SendStreamRecords(rec.Service, []resume.Record{rec})
+	}
+}
+
+// recordEvent binds a request to the version of the endpoint that sent an event of its stream, and
+// keeps the stream's record.
+func (h *Handler) recordEvent(c *call, e fleet.Endpoint) {
+	if !c.route.Resumable {
+		return
+	}
+	c.bound, c.version = true, e.SoftwareVersion
+	if c.recordedAt.IsZero() || time.Since(c.recordedAt) >= recordRefresh {
+		h.refreshRecord(c)
+	}
+}
+
+// refreshRecord keeps the record of a bound request's stream for longer.
+func (h *Handler) refreshRecord(c *call) {
+	id := c.id
+	if c.resumes != nil {
+		if named, ok := c.resumes.Mention.(resume.Named); ok {
+			id = named.ID
+		}
+	}
+	if id != "" && c.bound && c.route.Resumable {
+		h.putRecord(c, resume.Record{Key: resume.KeyOf(id), Service: c.req.Service, Version: c.version})
+	}
+}
+
+// states returns the endpoints that may get a request.
+func (h *Handler) states(c *call) []fleet.State {
+	states := h.control.States()
+	if !c.bound {
+		return states
+	}
+	return resume.AtVersion(states, c.req.Service, c.version, h.tracker.brokeAt, h.view().EndpointsConfirmedAt)
+}
+
+// versionGone reports whether no endpoint is left that may get a bound request.
+func versionGone(c *call, states []fleet.State) bool {
+	return c.bound && !slices.ContainsFunc(states, func(s fleet.State) bool { return !s.Leaving })
+}
+
+// rejectVersionGone ends a request that no endpoint of its version is left for.
+func (h *Handler) rejectVersionGone(c *call) nextStep {
+	if c.resumes != nil {
+		h.logResumption(c, "version_gone")
+	}
+	if len(c.req.Tried) > 0 {
+		return exhausted{",version_gone"}
+	}
+	h.reject(c, "version_gone", noEndpointRetryAfter)
+	return responded{}
+}
+
+// recordRedirect logs a resumption that the choice without versions would have sent to an endpoint
+// of another version.
+func (h *Handler) recordRedirect(c *call, latency pick.LatencyModel, slots, adapterSlots int, now time.Time) {
+	if c.resumes == nil || c.redirectChecked {
+		return
+	}
+	c.redirectChecked = true
+	all := h.tracker.candidates(h.control.States(), slots, c.req, c.req.Gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
+	ch, ok := pick.Best(c.req, all, latency, now, adapterSlots, h.draw)
+	if ok && candidateOf(all, ch.ID).State.SoftwareVersion != c.version {
+		h.logResumption(c, "redirected")
+	}
+}
+
+// logResumption logs and counts a resumption that was rejected or redirected.
+func (h *Handler) logResumption(c *call, reason string) {
+	h.metrics.resumptions.WithLabelValues(c.req.Service, reason).Inc()
+	v, now := h.view(), time.Now()
+	fields := logrus.Fields{
+		"request": c.id, "route": c.route.Name, "of_service": c.req.Service, "reason": reason, "record": string(c.resumes.Source),
+		"record_of": c.resumes.Record.Service, "record_version": c.resumes.Record.Version, "settled": c.resumes.Settled, "settled_version": c.resumes.SettledVersion,
+		"versions": len(resume.VersionsOf(v.Endpoints)[c.req.Service]), "view_age_ms": now.Sub(v.EndpointsConfirmedAt).Milliseconds(),
+	}
+	if named, ok := c.resumes.Mention.(resume.Named); ok {
+		fields["resumes"] = named.ID
+	}
+	if !v.EndpointsGapAt.IsZero() {
+		fields["gap_age_ms"] = now.Sub(v.EndpointsGapAt).Milliseconds()
+	}
+	h.log.WithFields(fields).Info("a resumption did not go where a new stream would")
+}
+
+// recordBroken records that a connection to an endpoint broke, so that it may have been restarted.
+func (t *tracker) recordBroken(e fleet.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endpoint(e).brokeAt = time.Now()
+}
+
+// brokeAt returns when a connection to an endpoint incarnation last broke or could not be opened.
+func (t *tracker) brokeAt(e fleet.Endpoint) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.endpoints[e.ID]; ok && r.incarnation == e.IncarnationID() {
+		return r.brokeAt
+	}
+	return time.Time{}
+}
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,7 +35,7 @@
 
 // newVersionFleet starts one endpoint for each version, each in a failure domain of its own.
 func newVersionFleet(t *testing.T, versions ...string) *versionFleet {
-	f := &versionFleet{t: t, keepers: &fakeKeepers{}}
+	f := &versionFleet{t: t, keepers: newFakeKeepers()}
 	for i, v := range versions {
 		fake := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
 			broken := f.breaks.Add(-1) >= 0
@@ -67,6 +66,7 @@
 type versionGateway struct {
 	gateway
 	handler *Handler
+	logs    lockedBuffer
 }
 
 // gateway starts a gateway in the failure domain of the endpoint that it prefers; attempts bounds
@@ -86,7 +86,8 @@
 		Config: fleet.NewConfig(1, routes, []fleet.Service{{Name: "s", Engine: spec}, {Name: "o", Engine: spec}}, fleet.Limits{BodyBytes: 1 << 20}),
 	})
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(&g.logs)
+	log.SetFormatter(&logrus.JSONFormatter{})
 	plane := versionPlane{fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, notice.NewLeavers(), &g.keepersAbsent}, f.keepers}
 	g.handler = New(Settings{
 		Headers: testHeaders, FailureDomain: domain, Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Minute, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
@@ -231,6 +232,11 @@
 func TestUnknownResumes(t *testing.T) {
 	f := newVersionFleet(t, "one", "two", "one")
 	x, y := f.gateway("z0", 1), f.gateway("z1", 1)
+	// Endpoint e1 serves the other service too.
+	elsewhere := f.endpoints[1]
+	elsewhere.ID, elsewhere.Service = "o1", "o"
+	f.list(x, append(f.endpoints, elsewhere)...)
+	f.list(y, append(f.endpoints, elsewhere)...)
 	f.begin(x, "r1")
 	runs := func() (n int64) {
 		for _, e := range f.fakes {
