--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -25,7 +25,7 @@
 	return &cobra.Command{
 		Use: "explain ID [FILE...]", Short: "Show the log lines of one request from all processes",
 		Long: "explain reads the logs of gateways and keepers from files or standard input. It prints, in order of time, " +
-			"the lines of a request and those of its endpoints from 5 s before it to 5 s after it. Text before the JSON of a line is printed as its source.",
+			"the lines of a request, of resumptions of its stream that were rejected or redirected, and those of its endpoints from 5 s before it to 5 s after it. Text before the JSON of a line is printed as its source.",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var lines []logLine
@@ -119,7 +119,8 @@
 	from, to = from.Add(-explainMargin), to.Add(explainMargin)
 	var shown []logLine
 	for _, l := range lines {
-		ofRequest := l.stringField("request") == id
+		// A later attempt of the caller resumes the stream that the request began.
+		ofRequest := l.stringField("request") == id || l.stringField("resumes") == id
 		ofEndpoint := l.stringField("request") == "" && endpoints[l.stringField("endpoint")] && !l.at.Before(from) && !l.at.After(to)
 		if ofRequest || ofEndpoint {
 			shown = append(shown, l)
--- a/internal/cmds/explain_test.go
+++ b/internal/cmds/explain_test.go
@@ -13,6 +13,7 @@
 not a log line {
  3.3 gw-1 {"request":"r2","endpoint":"e1","message":"request ended","time":"2026-01-01T00:00:03.2Z"}
  3.2 gw-1 {"request":"r1","endpoint":"e1","message":"request ended","status":502,"error":null,"took_ms":200,"time":"2026-01-01T00:00:03.2Z"}
+ 3.4 gw-2 {"request":"r4","resumes":"r1","reason":"version_gone","record_version":"one","message":"a resumption did not go where a new stream would","time":"2026-01-01T00:00:03.4Z"}
  9.9 gw-1 {"endpoint":"e1","message":"endpoint gone","time":"2026-01-01T00:00:09.9Z"}
 `
 
@@ -29,6 +30,7 @@
 00:00:03.000 3.0 side  a move was ordered endpoint="e1" load="m"
 00:00:03.100 3.1 gw-1  attempt failed endpoint="e1" request="r1" took_ms=100 why="request failed (sent): EOF"
 00:00:03.200 3.2 gw-1  request ended endpoint="e1" request="r1" status=502 took_ms=200
+00:00:03.400 3.4 gw-2  a resumption did not go where a new stream would reason="version_gone" record_version="one" request="r4" resumes="r1"
 `
 	if b.String() != want {
 		t.Errorf("got\n%swant\n%s", b.String(), want)
