proxy, watch: restarts and suspensions that hide a version

Cause: an endpoint that was restarted under its id and address is registered under its old version for up to a second, so a stream could be recorded and continued at a version that didn't write it. The monotonic clock stands still while the machine is suspended, so a view could look newer than it is.

A stream is bound and recorded only once its endpoint's version is sure; the age of the view and the gaps include the suspended time.

--- a/internal/coordination/watch/gap_test.go
+++ b/internal/coordination/watch/gap_test.go
@@ -17,15 +17,20 @@
 		gap   bool
 	}{{time.Hour, false}, {time.Second, false}, {resume.MaxViewAge, false}, {resume.MaxViewAge + time.Millisecond, true}, {time.Second, true}} {
 		at = at.Add(tc.pause)
-		v.recordGap(at)
-		v.EndpointsConfirmedAt = at
+		v.recordGap(at, time.Minute)
 		if !v.EndpointsGapAt.IsZero() != tc.gap {
 			t.Errorf("after a pause of %v: gap at %v, want one: %v", tc.pause, v.EndpointsGapAt, tc.gap)
 		}
 	}
+	if age := v.endpointsAge(at.Add(time.Second), time.Hour); age != time.Second+59*time.Minute {
+		t.Errorf("the view is %v old after a suspension of 59 minutes", age)
+	}
 	if want := at.Add(-time.Second); !v.EndpointsGapAt.Equal(want) {
 		t.Errorf("gap at %v, want its end %v", v.EndpointsGapAt, want)
 	}
+	if v.recordGap(at.Add(time.Second), 2*time.Minute); !v.EndpointsGapAt.Equal(at.Add(time.Second)) {
+		t.Error("a suspension is no gap")
+	}
 }
 
 // TestDigestOfVersions guards against gateways that take an endpoint's new version under its old id for known.
--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/fleet"
 )
@@ -100,8 +101,8 @@
 				due = limit
 			}
 			w.update(func(v *View) {
-				v.recordGap(now)
-				v.EndpointsConfirmedAt, v.StoreVersion = now, obs.StoreVersion
+				v.recordGap(now, lease.SuspendedTime())
+				v.StoreVersion = obs.StoreVersion
 			})
 		case <-t.C:
 			return reg, version
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/fleet"
 )
@@ -82,6 +83,7 @@
 	// EndpointsGapAt is the end of the last gap of more than resume.MaxViewAge between two
 	// confirmations of the endpoints, or zero.
 	EndpointsGapAt time.Time
+	suspended      suspension
 	// EndpointsUncertain is set while Endpoints may include some that the store no longer lists.
 	EndpointsUncertain bool
 }
@@ -222,8 +224,8 @@
 		w.logChanges(before, reg.endpoints)
 		sum, models := endpointsDigest(reg.endpoints), modelsDigest(reg.endpoints)
 		v := w.update(func(v *View) {
-			v.recordGap(reg.confirmedAt)
-			v.Endpoints, v.EndpointsConfirmedAt, v.StoreVersion, v.EndpointsUncertain = reg.endpoints, reg.confirmedAt, version, reg.confirmedAt.Before(reg.graceUntil)
+			v.recordGap(reg.confirmedAt, lease.SuspendedTime())
+			v.Endpoints, v.StoreVersion, v.EndpointsUncertain = reg.endpoints, version, reg.confirmedAt.Before(reg.graceUntil)
 			v.EndpointsDigest, v.ModelsDigest = sum, models
 		})
 		if w.onChange != nil {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -261,7 +261,7 @@
 		return true
 	}
 	c.possibleRuns++
-	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && (!c.responseBegun || c.lastEventID != "")
+	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && (!c.responseBegun || c.lastEventID != "" && c.bound)
 }
 
 const (
@@ -395,6 +395,7 @@
 		hd.Set(h.cfg.Headers.LastEventID, c.lastEventID)
 	}
 	sent := time.Now()
+	c.sentAt = sent
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &http1.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body, Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
 		IDHeader: h.cfg.Headers.RequestID, ID: c.id, DialTimeout: dialTimeout(c.route),
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -156,6 +156,8 @@
 	// bound is set while only endpoints of the software version may get the request.
 	bound   bool
 	version string
+	// sentAt is when the newest attempt was sent.
+	sentAt time.Time
 	// recordedAt is when the record of the request's stream was last put.
 	recordedAt time.Time
 	// redirectChecked is set once the choice was compared with the one without versions.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -51,8 +51,8 @@
 
 // settled returns the only version of a service, if it has one.
 func (h *Handler) settled(service string) (version string, settled bool) {
-	v := h.view()
-	return h.versions.history.Settled(service, resume.Confirmation{At: v.EndpointsConfirmedAt, GapAt: v.EndpointsGapAt}, time.Now())
+	v, now := h.view(), time.Now()
+	return h.versions.history.Settled(service, resume.Confirmation{At: now.Add(-v.EndpointsAge(now)), GapAt: v.EndpointsGapAt}, now)
 }
 
 // shareRecords sends keepers the records of each service that has become unsettled, or whose
@@ -176,9 +176,9 @@
 }
 
 // recordEvent binds a request to the version of the endpoint that sent an event of its stream, and
-// keeps the stream's record.
+// keeps the stream's record. While the endpoint's version is in doubt it does neither.
 func (h *Handler) recordEvent(c *call, e fleet.Endpoint) {
-	if !c.route.Resumable {
+	if !c.route.Resumable || !c.bound && !h.versionSure(c, e) {
 		return
 	}
 	c.bound, c.version = true, e.SoftwareVersion
@@ -187,6 +187,30 @@
 	}
 }
 
+// versionSure reports whether the endpoint that got a request is of the version that it is
+// registered with: it may have been restarted since, and its registration is read up to a second
+// later. In a settled service a restart changes nothing that is known.
+func (h *Handler) versionSure(c *call, e fleet.Endpoint) bool {
+	if _, settled := h.settled(e.Service); settled {
+		return true
+	}
+	states := h.control.States()
+	i := slices.IndexFunc(states, func(s fleet.State) bool { return s.ID == e.ID })
+	if i < 0 {
+		return true
+	}
+	if states[i].IncarnationID() != e.IncarnationID() {
+		return false
+	}
+	brokeAt := func(e fleet.Endpoint) time.Time {
+		if at := h.tracker.brokeAt(e); at.Before(c.sentAt) {
+			return at
+		}
+		return time.Time{}
+	}
+	return len(resume.AtVersion(states[i:i+1], e.Service, e.SoftwareVersion, brokeAt, h.view().EndpointsConfirmedAt)) > 0
+}
+
 // refreshRecord keeps the record of a bound request's stream for longer.
 func (h *Handler) refreshRecord(c *call) {
 	id := c.id
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -307,6 +307,28 @@
 	}
 }
 
+// TestRestartUnseen guards against a stream that is taken for one of the version that its endpoint was registered with before it was restarted under its id and address.
+func TestRestartUnseen(t *testing.T) {
+	f := newVersionFleet(t, "two", "two", "one")
+	g := f.gateway("z0", 3)
+	stale := f.endpoints[0]
+	stale.SoftwareVersion = "one"
+	f.list(g, stale, f.endpoints[1], f.endpoints[2])
+	states := slices.Clone(*g.states.Load())
+	states[0].StatusSupersedes, states[0].Status = true, fleet.Status{ReceivedAt: time.Now(), Incarnation: 2, Alive: true, Models: stale.Models}
+	g.states.Store(&states)
+	f.breaks.Store(1)
+	first := f.call(g, "r1", "")
+	if got := versionsIn(first); len(got) != 2 || got[0] != "two" {
+		t.Fatalf("the broken stream has events of %v", got)
+	}
+	for _, v := range versionsIn(f.call(g, "r2", "r1")) {
+		if v != "two" {
+			t.Errorf("the stream continues with an event of version %s", v)
+		}
+	}
+}
+
 // TestVersionReturns guards against a resumption at the endpoint that began the stream after it came back under its id and address with another version.
 func TestVersionReturns(t *testing.T) {
 	for name, incarnation := range map[string]int64{"another start": 2, "the same start": 1} {
