--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -13,6 +13,8 @@
 	&PlannerStatus{StoreVersion: 8, EndpointsDigest: 1 << 63, ConfigVersion: 3, ConfigConfirmedAge: time.Second, Resigned: true, ConfigProofEra: 2, ConfigProofTime: time.Hour},
 	&CreditRequest{Gateway: "g", GatewayIncarnation: 1, Sequence: 2, Groups: []GroupCredit{{Group: "a", Held: 1, Returned: 2, Need: 3, Least: 3, Ahead: 4, UsedPerSecond: 5}}},
 	&CreditGrant{Term: 1, GatewayIncarnation: 2, Sequence: 3, Groups: []GroupGrant{{Granted: 4, WaitMs: 5, AboveShare: true}}},
+	&StreamRecords{Query: 1 << 63, Streams: []VersionStreams{{Service: "s", Version: "v", Keys: []uint64{1, 1 << 63}}}},
+	&StreamQuery{Query: 5, Key: 1 << 63},
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -20,6 +20,9 @@
 	// the incarnations that use one id.
 	Incarnation int64
 	Models      []Resident
+	// SoftwareVersion is the version of the endpoint's software; endpoints without one are all of
+	// the empty version.
+	SoftwareVersion string
 }
 
 // IncarnationID identifies one life of an endpoint's process.
@@ -27,10 +30,15 @@
 	// Endpoint is the endpoint's id, Incarnation the time of its start as in Endpoint.
 	Endpoint    string
 	Incarnation int64
+	// SoftwareVersion is that of the endpoint: one that returns with another version is another
+	// incarnation, whatever its start.
+	SoftwareVersion string
 }
 
 // IncarnationID returns the identity of the endpoint's current life.
-func (e Endpoint) IncarnationID() IncarnationID { return IncarnationID{e.ID, e.Incarnation} }
+func (e Endpoint) IncarnationID() IncarnationID {
+	return IncarnationID{e.ID, e.Incarnation, e.SoftwareVersion}
+}
 
 // Resident is a model that is resident on an endpoint, with its resident adapters.
 type Resident struct {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -144,7 +144,7 @@
 	}
 	for _, s := range h.control.States() {
 		if s.ID == e.ID {
-			return !s.Leaving && s.Incarnation == e.Incarnation
+			return !s.Leaving && s.IncarnationID() == e.IncarnationID()
 		}
 	}
 	return false
@@ -158,10 +158,14 @@
 // choose selects the endpoint for the next attempt; without one it waits, rejects the request
 // or returns why no further attempt is made.
 func (h *Handler) choose(c *call, service fleet.Service) nextStep {
+	states := h.states(c)
+	if versionGone(c, states) {
+		return h.rejectVersionGone(c)
+	}
 	c.releaseWindow()
 	now := time.Now()
 	gateways := h.control.GatewayCount()
-	opts := h.optionsFor(c, service, gateways, now)
+	opts := h.optionsFor(c, service, states, gateways, now)
 	candidates := opts.candidates
 	h.tracker.ramps.considered(candidates, gateways, now)
 	ch, ok := h.bestOf(c, opts, now)
@@ -188,6 +192,7 @@
 		return chooseAgain{}
 	}
 	c.choice = ch
+	h.recordRedirect(c, service, now)
 	if !c.demandRecorded && len(c.req.Tried) == 0 && c.req.ModelName.Model != "" {
 		c.demandRecorded = true
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, ch.PrefillTokens, c.req.OutputTokens)
@@ -260,6 +265,7 @@
 	c.req.Tried = append(c.req.Tried, e.ID)
 	h.logFailedAttempt(c, res)
 	if res.connectionBroken {
+		h.tracker.recordBroken(e)
 		h.recordCrash(c, time.Now())
 		h.recordPartCrash(c, e, time.Now())
 	}
@@ -267,7 +273,7 @@
 		return true
 	}
 	c.possibleRuns++
-	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && (!c.responseBegun || c.lastEventID != "")
+	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && (!c.responseBegun || c.lastEventID != "" && c.bound)
 }
 
 const (
@@ -352,7 +358,7 @@
 // awaitModel waits for a model that is resident on no usable endpoint. If its load can't end
 // in time it rejects the request, with a Retry-After at which the load may have ended.
 func (h *Handler) awaitModel(c *call, service fleet.Service) bool {
-	ready := replica.TimeToReady(service.Engine.Models[c.req.ModelName.Model], service.Name, h.control.States())
+	ready := replica.TimeToReady(service.Engine.Models[c.req.ModelName.Model], service.Name, h.states(c))
 	maxWait := maxModelWait(c.deadline.Sub(c.began), c.route.ClientIdleTimeout())
 	if ready > maxWait || time.Since(c.began) > maxWait {
 		h.control.RecordDemand(service.Name, c.req.ModelName.Model, c.req.PromptTokens(), c.req.OutputTokens)
@@ -404,6 +410,7 @@
 		hd.Set(h.cfg.Headers.LastEventID, c.lastEventID)
 	}
 	sent := time.Now()
+	c.sentAt = sent
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &http1.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body, Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
 		IDHeader: h.cfg.Headers.RequestID, ID: c.id, DialTimeout: dialTimeout(c.route),
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -20,6 +20,7 @@
 	"chervilhead/internal/state/jitter"
 	"chervilhead/internal/state/pick"
 	"chervilhead/internal/state/poison"
+	"chervilhead/internal/state/resume"
 )
 
 // ControlPlane gives the handler the endpoints' live states and takes its reports of demand
@@ -48,6 +49,10 @@
 	// RecordLeaving records that an endpoint incarnation said that it leaves, and reports whether
 	// that is new.
 	RecordLeaving(e fleet.Endpoint) bool
+	// SendStreamRecords sends records of streams to the keepers that hold them.
+	SendStreamRecords(service string, recs []resume.Record)
+	// QueryStreamRecord asks the keepers for the record of a stream and waits a bounded time.
+	QueryStreamRecord(ctx context.Context, service string, key uint64) (resume.Record, resume.Source)
 	// GatewayCount returns the number of gateways, or a default until it is known.
 	GatewayCount() int
 }
@@ -81,6 +86,7 @@
 	pool          *http1.Pool
 	tracker       *tracker
 	poisonTracker *poisonTracker
+	versions      *streamVersions
 	log           *logrus.Entry
 	metrics       *Metrics
 	// fingerprintKey is the key of the fingerprints of callers' keys.
@@ -96,7 +102,7 @@
 	if cfg.Elapsed == nil {
 		cfg.Elapsed = lease.Elapsed
 	}
-	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
+	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), versions: newStreamVersions(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
 	if cfg.Ramp {
 		h.tracker.ramps = newRamps(cfg.GatewayID, h.tracker.start, metrics.ramp, log)
 	}
@@ -136,6 +142,8 @@
 	h.tracker.retain(func(id string) bool { return known[id] })
 	h.pool.EvictIdle(time.Now(), func(key string) bool { return known[key] })
 	h.metrics.keys.observeView(h.view(), h.cfg.Elapsed())
+	// A service becomes unsettled without a new view if the store falls silent.
+	h.shareRecords()
 }
 
 // maxBodyBytes bounds the request bodies in memory to a fifth of a small host's memory. It is
@@ -168,6 +176,17 @@
 	reportAge     time.Duration
 	configVersion uint64
 	lastEventID   string
+	// resumes is what is known of the stream that the request resumes, nil if it begins one.
+	resumes *resume.Evidence
+	// bound is set while only endpoints of the software version may get the request.
+	bound   bool
+	version string
+	// sentAt is when the newest attempt was sent.
+	sentAt time.Time
+	// recordedAt is when the record of the request's stream was last put.
+	recordedAt time.Time
+	// redirectChecked is set once the choice was compared with the one without versions.
+	redirectChecked bool
 	// cachedFingerprint is set by fingerprint.
 	cachedFingerprint string
 	// partKeys identify the prompt parts that other requests may hold too.
@@ -243,7 +262,8 @@
 	}
 	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
 	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
-	service, ok := v.Config.Service(route.PickService(h.draw()))
+	h.findStream(c)
+	service, ok := v.Config.Service(h.pickService(c))
 	if !ok {
 		h.reject(c, "no_service", startRetryAfter)
 		return
@@ -264,7 +284,9 @@
 	}
 	defer h.endQuota(c)
 	h.tracker.recordFirstAttempt(service.Name)
-	h.serve(c, service)
+	if h.bindVersion(c) {
+		h.serve(c, service)
+	}
 	h.recordOutcome(c)
 }
 
@@ -373,5 +395,5 @@
 func poolKey(e fleet.Endpoint) string { return incarnationPoolKey(e.IncarnationID()) }
 
 func incarnationPoolKey(id fleet.IncarnationID) string {
-	return id.Endpoint + "/" + strconv.FormatInt(id.Incarnation, 36)
+	return id.Endpoint + "/" + strconv.FormatInt(id.Incarnation, 36) + "/" + id.SoftwareVersion
 }
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -21,6 +21,7 @@
 	ramp             *rampMetrics
 	quotaRefusals    *prometheus.CounterVec
 	yields           prometheus.Counter
+	resumptions      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a handler with reg.
@@ -55,6 +56,10 @@
 	m.ramp = newRampMetrics(reg)
 	m.keys = newKeyMetrics(reg)
 	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords, m.quotaRefusals, m.yields)
+	m.resumptions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chervilhead_gateway_resumptions_total", Help: "Resumptions of streams that were rejected, or went to another endpoint than a new stream, for their software version, by service and reason.",
+	}, []string{"service", "reason"})
+	reg.MustRegister(m.resumptions)
 	return m
 }
 
--- a/internal/transport/proxy/options.go
+++ b/internal/transport/proxy/options.go
@@ -15,7 +15,7 @@
 }
 
 // optionsFor returns the candidates for a request as the gateway knows them now.
-func (h *Handler) optionsFor(c *call, service fleet.Service, gateways int, now time.Time) options {
+func (h *Handler) optionsFor(c *call, service fleet.Service, states []fleet.State, gateways int, now time.Time) options {
 	var opts options
 	slots := 0
 	if service.Engine != nil {
@@ -24,7 +24,7 @@
 	c.req.Gateways, c.req.Repeatable = gateways, c.route.Repeatable()
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
-	opts.candidates = h.tracker.candidates(h.control.States(), slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
+	opts.candidates = h.tracker.candidates(states, slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
 	opts.latency = h.tracker.latencyModel(service.Name, c.req.ModelName.Model)
 	if service.Engine != nil {
 		opts.latency.ModelLoadTime = service.Engine.Models[c.req.ModelName.Model].StoreLoadTime
--- a/internal/transport/proxy/where.go
+++ b/internal/transport/proxy/where.go
@@ -152,7 +152,7 @@
 
 // setChoice sets the endpoint that the request would go to, and the reasons against the others.
 func (h *Handler) setChoice(out *Where, c *call, service fleet.Service, now time.Time) {
-	opts := h.optionsFor(c, service, out.Gateways, now)
+	opts := h.optionsFor(c, service, h.control.States(), out.Gateways, now)
 	ch, ok := h.bestOf(c, opts, now)
 	out.Verdict = h.verdict(c, service, opts, ch, ok, now)
 	if out.Verdict == verdictSent {
