replica: the planner weighs the load of engines, and keeps replicas while demand is unknown

Callers of busy models got late streams and too_late rejections although other engines had room. The cost of a replica counted its own model only, not what shares its engine.

The cost of a placement is now the sum of the squares of the engines' loads, each model spread evenly over its replicas; an idle model without a replica costs 0.05, because its first request can wait for a load; and nothing is unloaded while no model has any demand.

--- a/internal/state/replica/move.go
+++ b/internal/state/replica/move.go
@@ -69,8 +69,9 @@
 	minLocalLoadGain = 0.08
 	// minStoreLoadGain is the least gain of a move with weights from the weight store.
 	minStoreLoadGain = 0.2
-	// absentCost is the cost of a model with neither replica nor demand.
-	absentCost = 0.3
+	// absentCost is the cost of a model with neither replica nor demand. The first request for it
+	// waits for a load, while a busy replica serves several requests in each second of that load.
+	absentCost = 0.05
 	// absentLoadWeight weighs the offered load of a model without a replica, because its
 	// requests are rejected or wait.
 	absentLoadWeight = 5
@@ -80,7 +81,7 @@
 	// requests on an unloaded model have ended, which takes as long as a load or longer. It
 	// decides between moves, not whether to make one.
 	unloadWaitShare = 0.3
-	// colocationWeight weighs the cost of sharing an endpoint with other busy models.
+	// colocationWeight weighs the load of an endpoint on which a model gets its first replica.
 	colocationWeight = 0.5
 )
 
@@ -107,7 +108,11 @@
 	demand    map[string]Demand
 	replicas  map[string]int
 	// serving counts the replicas that are loaded.
-	serving    map[string]int
+	serving map[string]int
+	// holders are the indices of the endpoints with a replica of each model, loads the offered
+	// load of each endpoint.
+	holders    map[string][]int
+	loads      []float64
 	modelNames []string
 	// rooms holds what each endpoint, by its index, can make room for.
 	rooms []room
@@ -117,8 +122,6 @@
 // every model that may be loaded there, so it is computed once a decision.
 type room struct {
 	freeMB float64
-	// load is the offered load of all models on the endpoint.
-	load float64
 	// victims are the models that may be unloaded, the least costly first.
 	victims []victim
 }
@@ -132,13 +135,14 @@
 }
 
 func newPlacement(spec *fleet.EngineSpec, endpoints []Endpoint, demand map[string]Demand) *placement {
-	p := &placement{spec: spec, endpoints: endpoints, demand: demand, replicas: map[string]int{}, serving: map[string]int{}}
-	for _, e := range endpoints {
+	p := &placement{spec: spec, endpoints: endpoints, demand: demand, replicas: map[string]int{}, serving: map[string]int{}, holders: map[string][]int{}, loads: make([]float64, len(endpoints))}
+	for i, e := range endpoints {
 		if e.Leaving {
 			continue
 		}
 		for _, m := range e.Models {
 			p.replicas[m]++
+			p.holders[m] = append(p.holders[m], i)
 			if !slices.Contains(e.LoadingModels, m) {
 				p.serving[m]++
 			}
@@ -148,26 +152,42 @@
 		p.modelNames = append(p.modelNames, n)
 	}
 	slices.Sort(p.modelNames)
+	for m, holders := range p.holders {
+		for _, i := range holders {
+			p.loads[i] += p.replicaLoad(m, 0)
+		}
+	}
 	p.rooms = make([]room, len(endpoints))
 	for i, e := range endpoints {
 		if e.Usable && !e.Leaving {
-			p.rooms[i] = p.newRoom(e)
+			p.rooms[i] = p.newRoom(i, e)
 		}
 	}
 	return p
 }
 
-// newRoom returns the room of an endpoint. The last replica of a model isn't a victim until
+// idle reports whether no model has any demand. Nothing then tells replicas that will be needed
+// from others, and what the operators placed is a better guess than an even spread.
+func (p *placement) idle() bool {
+	for _, d := range p.demand {
+		if d.OfferedLoad > 0 || d.Waiting > 0 || d.Running > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// newRoom returns the room of the i-th endpoint. The last replica of a model isn't a victim until
 // another one is loaded: a load from the weight store takes seconds, in which requests would
 // find none.
-func (p *placement) newRoom(e Endpoint) room {
+func (p *placement) newRoom(i int, e Endpoint) room {
+	idle := p.idle()
 	r := room{freeMB: p.spec.WeightsMB - e.ReservedMB}
 	for _, m := range e.Models {
 		weights, load := p.spec.Models[m].WeightsMB, p.replicaLoad(m, 0)
 		r.freeMB -= weights
-		r.load += load
-		if p.replicas[m] >= 2 && p.serving[m] >= 2 {
-			r.victims = append(r.victims, victim{model: m, weightsMB: weights, loss: p.queueCost(m, -1) - p.queueCost(m, 0), load: load, running: float64(p.demand[m].Running) / float64(p.replicas[m])})
+		if !idle && p.replicas[m] >= 2 && p.serving[m] >= 2 {
+			r.victims = append(r.victims, victim{model: m, weightsMB: weights, loss: p.unloadLoss(m, i), load: load, running: float64(p.demand[m].Running) / float64(p.replicas[m])})
 		}
 	}
 	slices.SortStableFunc(r.victims, func(a, b victim) int {
@@ -242,8 +262,7 @@
 	return absentCost + absentLoadWeight*d.OfferedLoad + absentWaitWeight*float64(d.Waiting)
 }
 
-// bestExtraReplica returns the move that shortens the queues most, and its rank. The cost of a model's queues is the square of its offered load divided by
-// the number of its replicas: the load of one replica, weighted by the model's offered load.
+// bestExtraReplica returns the move that shortens the queues most, and its rank.
 func (p *placement) bestExtraReplica(storeLoadAllowed bool) (Move, float64, bool) {
 	var best Move
 	bestNet, found := 0.0, false
@@ -252,7 +271,7 @@
 		if load <= 0 {
 			continue
 		}
-		gain := p.queueCost(n, 0) - p.queueCost(n, 1)
+		gain := p.spreadGain(n)
 		if gain < minLocalLoadGain || found && gain <= bestNet {
 			continue
 		}
@@ -286,20 +305,44 @@
 	if !local {
 		minGain = minStoreLoadGain
 	}
-	otherLoad := p.rooms[i].load
+	otherLoad := p.loads[i]
 	for _, v := range unload {
 		otherLoad -= v.load
 	}
-	net := gain - loss - colocationWeight*otherLoad*p.replicaLoad(model, 1)
+	added := p.replicaLoad(model, 1)
+	net := gain - loss - added*(2*otherLoad+added)
 	if net <= minGain {
 		return Move{}, 0, false
 	}
 	return Move{Endpoint: e.ID, Unload: names(unload), Load: model, FromStore: !local, Reason: "relieve"}, net - minGain - unloadWaitShare*gain*unloadWait(unload), true
 }
 
-// queueCost returns the cost of a model's queues if it had extra replicas more.
-func (p *placement) queueCost(model string, extra int) float64 {
-	return p.demand[model].OfferedLoad * p.replicaLoad(model, extra)
+// The cost of a placement is the sum of the squares of the endpoints' loads: an endpoint's load,
+// weighted by what is delayed by it. A model's load is taken to be spread evenly over its
+// replicas. The load of the other models on an endpoint counts, because all share its batch.
+
+// spreadGain returns how much one more replica of a model takes off the endpoints that hold it.
+func (p *placement) spreadGain(model string) float64 {
+	taken := p.replicaLoad(model, 0) - p.replicaLoad(model, 1)
+	gain := 0.0
+	for _, i := range p.holders[model] {
+		gain += taken * (2*p.loads[i] - taken)
+	}
+	return gain
+}
+
+// unloadLoss returns how much more the endpoints cost if a model is unloaded from the i-th one.
+// It is never negative: a replica that gateways avoid because its endpoint is busy costs nothing.
+func (p *placement) unloadLoss(model string, i int) float64 {
+	removed := p.replicaLoad(model, 0)
+	added := p.replicaLoad(model, -1) - removed
+	loss := -removed * (2*p.loads[i] - removed)
+	for _, k := range p.holders[model] {
+		if k != i {
+			loss += added * (2*p.loads[k] + added)
+		}
+	}
+	return max(0, loss)
 }
 
 // placeFirstReplica finds the endpoint for the first replica of a model, and returns the
@@ -320,7 +363,7 @@
 		if !ok {
 			continue
 		}
-		cost := loss + colocationWeight*p.rooms[i].load
+		cost := loss + colocationWeight*p.loads[i]
 		if !local {
 			cost += minStoreLoadGain
 		}
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -323,6 +323,8 @@
 		held = append(held, []string{"a", "b"})
 	}
 	c := startCluster(t, clusterConfig(names...), held...)
+	// Without any demand nothing is unloaded.
+	defer c.plane.TrackRunning("s", "a")()
 	for _, e := range c.engines {
 		e.mu.Lock()
 		e.unloadsAt = time.Now().Add(4 * time.Second)
