proxy, control: a request waits until its group's quota covers it, within a quarter of its objective

A request now waits if the named wait is within a quarter of its objective; one that can't be covered in that time is refused at once as before.

--- a/internal/transport/control/credit.go
+++ b/internal/transport/control/credit.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// creditWait is how long a caller's request waits for credit: twice the time after which a
-	// lost datagram is sent again.
+	// creditWait is the least time for which a caller's request waits for the planner's reply:
+	// twice the time after which a lost datagram is sent again.
 	creditWait = 80 * time.Millisecond
 	// creditTick is the time between checks whether a request for credit is due, half of the
 	// time after which one is sent again.
@@ -60,10 +60,10 @@
 func (p *Plane) Credits() *Credits { return p.credits }
 
 // Take implements proxy.Quotas.
-func (c *Credits) Take(ctx context.Context, g fleet.Group, units float64) (time.Duration, bool) {
+func (c *Credits) Take(ctx context.Context, g fleet.Group, units float64, patience time.Duration) (time.Duration, bool) {
 	c.anyLimited()
 	now := steadyNow()
-	deadline := now.Add(creditWait)
+	deadline := now.Add(max(creditWait, patience))
 	c.mu.Lock()
 	c.account.Arrive(now, g, units)
 	for {
@@ -76,8 +76,18 @@
 			c.mu.Unlock()
 			return 0, true
 		case credit.Refused:
+			if now.Add(d.Wait).After(deadline) || patience < d.Wait || ctx.Err() != nil {
+				c.mu.Unlock()
+				return d.Wait, false
+			}
+			// The group's budget covers the request before its caller notices the wait.
+			c.account.Wait(g.Name, units)
 			c.mu.Unlock()
-			return d.Wait, false
+			_ = waitForChange(ctx, nil, d.Wait)
+			now = steadyNow()
+			c.mu.Lock()
+			c.account.Leave(g.Name, units)
+			continue
 		case credit.Pending:
 		}
 		if !now.Before(deadline) || ctx.Err() != nil {
--- a/internal/transport/control/credit_test.go
+++ b/internal/transport/control/credit_test.go
@@ -44,7 +44,7 @@
 	began, used := time.Now(), 0.0
 	for time.Since(began) < time.Second {
 		for _, g := range []*testGateway{a, b} {
-			wait, ok := g.Credits().Take(context.Background(), group, 5000)
+			wait, ok := g.Credits().Take(context.Background(), group, 5000, 0)
 			if ok {
 				used += 5000
 			} else if wait <= 0 || wait > time.Second || !g.Credits().Confirmed() {
@@ -76,6 +76,30 @@
 	}
 }
 
+// TestWaitForCredit guards against requests within their group's quota that are refused after a
+// change of the planner, which begins with an empty bucket, although the quota covers them soon.
+func TestWaitForCredit(t *testing.T) {
+	rows, view := &rows{rows: map[string]store.Row{}}, quotaView(1, 100_000)
+	group := view.Config.Groups()["group-0"]
+	a := startTestGateway(t, "a", rows, view)
+	until(t, "the gateway is the planner", a.plans)
+	a.planner.gateways.Store(1)
+	// Half of the quota is asked for, which the platform counts as permitted in every window.
+	for i := range 20 {
+		if wait, ok := a.Credits().Take(context.Background(), group, 5000, 200*time.Millisecond); !ok {
+			t.Errorf("request %d was refused for %v, with 200 ms to wait", i, wait)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	began := time.Now()
+	if wait, ok := a.Credits().Take(context.Background(), group, 1e6, 200*time.Millisecond); ok || wait <= 200*time.Millisecond {
+		t.Errorf("a request of ten seconds' quota: served %v, wait %v", ok, wait)
+	}
+	if took := time.Since(began); took > 150*time.Millisecond {
+		t.Errorf("a request that the quota can't cover in time was refused after %v", took)
+	}
+}
+
 // TestNoQuotaNoRequest guards against requests for credit while no group has a quota.
 func TestNoQuotaNoRequest(t *testing.T) {
 	p, _ := planeWith(t, 0)
--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -18,8 +18,8 @@
 // Quotas says which requests are within the quotas of their groups over all gateways.
 type Quotas interface {
 	// Take takes units of a group's quota, or returns false and the time until it covers them.
-	// It waits for the planner for a bounded time.
-	Take(ctx context.Context, group fleet.Group, units float64) (wait time.Duration, ok bool)
+	// It waits up to patience for the quota to cover them, and a bounded time for the planner.
+	Take(ctx context.Context, group fleet.Group, units float64, patience time.Duration) (wait time.Duration, ok bool)
 	// Return gives back what was taken for a request that has not run.
 	Return(group fleet.Group, units float64)
 	// Confirmed reports whether the planner has lately said what is left of the quotas.
@@ -30,6 +30,11 @@
 	AboveShare(group string) bool
 }
 
+// quotaObjectiveShare is the part of its objective for which a request waits until its group's
+// quota covers it. A refused caller comes back later than that, and the rest is left for its answer
+// to be on time.
+const quotaObjectiveShare = 0.25
+
 // takeQuota takes the cost of a request from its group's quota. If the quota doesn't cover it,
 // takeQuota responds and returns false.
 func (h *Handler) takeQuota(c *call) bool {
@@ -38,7 +43,7 @@
 	}
 	units := quotaCost(c.group.Quota, c.in.Header.Get(h.cfg.Headers.TokenCounts))
 	began := time.Now()
-	wait, ok := h.cfg.Quotas.Take(c.ctx, c.group, units)
+	wait, ok := h.cfg.Quotas.Take(c.ctx, c.group, units, time.Duration(quotaObjectiveShare*float64(c.route.Objective)))
 	if ok {
 		c.quotaUnits, c.quotaTakenAt = units, time.Now()
 		return true
--- a/internal/transport/proxy/quota_test.go
+++ b/internal/transport/proxy/quota_test.go
@@ -24,7 +24,7 @@
 	served             []bool
 }
 
-func (f *fakeQuotas) Take(_ context.Context, _ fleet.Group, units float64) (time.Duration, bool) {
+func (f *fakeQuotas) Take(_ context.Context, _ fleet.Group, units float64, _ time.Duration) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.left < units {
