proxy: a request whose time ends in the wait for its quota is answered

It is now refused as not run, and a request that ends without any response breaks its connection.

Result: TestDeadlineWhileWaitingForQuota failed (the caller saw 200) and passes; tests of proxy and control pass.

--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -21,6 +21,7 @@
 	"chervilhead/internal/state/pick"
 	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
+	"chervilhead/internal/transport/httpd"
 )
 
 // ControlPlane gives the handler the endpoints' live states and takes its reports of demand
@@ -278,16 +279,18 @@
 	defer cancel()
 	c.ctx = ctx
 	c.req = h.parseRequest(c, service)
-	if !h.takeQuota(c) {
-		h.recordOutcome(c)
-		return
-	}
-	defer h.endQuota(c)
-	h.tracker.recordFirstAttempt(service.Name)
-	if h.bindVersion(c) {
-		h.serve(c, service)
+	if h.takeQuota(c) {
+		defer h.endQuota(c)
+		h.tracker.recordFirstAttempt(service.Name)
+		if h.bindVersion(c) {
+			h.serve(c, service)
+		}
 	}
 	h.recordOutcome(c)
+	if c.status == 0 {
+		// Without a response the server would send an empty 200.
+		httpd.AbortResponse(c.w, c.in)
+	}
 }
 
 // setWriteDeadline bounds the time in which the caller has to read the response.
--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -50,7 +50,7 @@
 	}
 	reason := "over_quota"
 	switch {
-	case c.ctx.Err() != nil:
+	case c.in.Context().Err() != nil:
 		reason = "left"
 		c.outcome = "client_left"
 	case h.cfg.Quotas.Confirmed():
--- a/internal/transport/proxy/quota_test.go
+++ b/internal/transport/proxy/quota_test.go
@@ -21,10 +21,16 @@
 	mu                 sync.Mutex
 	left               float64
 	unconfirmed, above bool
-	served             []bool
+	// hangs is set if the quota covers nothing until the request ends.
+	hangs  bool
+	served []bool
 }
 
-func (f *fakeQuotas) Take(_ context.Context, _ fleet.Group, units float64, _ time.Duration) (time.Duration, bool) {
+func (f *fakeQuotas) Take(ctx context.Context, _ fleet.Group, units float64, _ time.Duration) (time.Duration, bool) {
+	if f.hangs {
+		<-ctx.Done()
+		return time.Second, false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.left < units {
@@ -134,6 +140,21 @@
 	}
 }
 
+// TestDeadlineWhileWaitingForQuota guards against a request whose time ends in the wait for its
+// group's quota and that its caller sees succeed without a body.
+func TestDeadlineWhileWaitingForQuota(t *testing.T) {
+	h, c, w := quotaCall(&fakeQuotas{hangs: true}, "")
+	ctx, cancel := context.WithTimeoutCause(c.ctx, time.Millisecond, errTimeout)
+	defer cancel()
+	c.ctx = ctx
+	if h.takeQuota(c) {
+		t.Fatal("served")
+	}
+	if c.status != http.StatusTooManyRequests || w.Code != c.status {
+		t.Errorf("status %d, the caller sees %d, want 429: the request has not run", c.status, w.Code)
+	}
+}
+
 // TestNoQuota guards against calls for quota where no group has one.
 func TestNoQuota(t *testing.T) {
 	h, c, _ := quotaCall(nil, "")
