proxy, control: groups within their share wait longer for their quota, floods are told more

A request waits up to half of its objective, a quarter if its group uses more than its share. One that has waited in vain is told twice the time that it waited.

--- a/internal/transport/control/credit.go
+++ b/internal/transport/control/credit.go
@@ -21,6 +21,9 @@
 	// creditWait is the least time for which a caller's request waits for the planner's reply:
 	// twice the time after which a lost datagram is sent again.
 	creditWait = 80 * time.Millisecond
+	// futileWaitFactor is how much longer a caller is told to wait than its request has waited in
+	// vain: of a group that asks for more than its quota only some can return at the same time.
+	futileWaitFactor = 2
 	// creditTick is the time between checks whether a request for credit is due, half of the
 	// time after which one is sent again.
 	creditTick = 20 * time.Millisecond
@@ -62,7 +65,8 @@
 // Take implements proxy.Quotas.
 func (c *Credits) Take(ctx context.Context, g fleet.Group, units float64, patience time.Duration) (time.Duration, bool) {
 	c.anyLimited()
-	now := steadyNow()
+	began := steadyNow()
+	now := began
 	deadline := now.Add(max(creditWait, patience))
 	c.mu.Lock()
 	c.account.Arrive(now, g, units)
@@ -78,7 +82,8 @@
 		case credit.Refused:
 			if now.Add(d.Wait).After(deadline) || patience < d.Wait || ctx.Err() != nil {
 				c.mu.Unlock()
-				return d.Wait, false
+				// What a request has waited in vain is likely to be too short again.
+				return max(d.Wait, futileWaitFactor*now.Sub(began)), false
 			}
 			// The group's budget covers the request before its caller notices the wait.
 			c.account.Wait(g.Name, units)
--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -33,7 +33,7 @@
 // quotaObjectiveShare is the part of its objective for which a request waits until its group's
 // quota covers it. A refused caller comes back later than that, and the rest is left for its answer
 // to be on time.
-const quotaObjectiveShare = 0.25
+const quotaObjectiveShare = 0.5
 
 // takeQuota takes the cost of a request from its group's quota. If the quota doesn't cover it,
 // takeQuota responds and returns false.
@@ -43,7 +43,12 @@
 	}
 	units := quotaCost(c.group.Quota, c.in.Header.Get(h.cfg.Headers.TokenCounts))
 	began := time.Now()
-	wait, ok := h.cfg.Quotas.Take(c.ctx, c.group, units, time.Duration(quotaObjectiveShare*float64(c.route.Objective)))
+	patience := time.Duration(quotaObjectiveShare * float64(c.route.Objective))
+	if h.cfg.Quotas.AboveShare(c.group.Name) {
+		// Most of the group's requests can't be covered, and a queue of them would make all late.
+		patience /= 2
+	}
+	wait, ok := h.cfg.Quotas.Take(c.ctx, c.group, units, patience)
 	if ok {
 		c.quotaUnits, c.quotaTakenAt = units, time.Now()
 		return true
