credit: the planner is asked again within 0.5 s of a refusal

A gateway kept refusing a group's requests for as long as the planner's wait, up to a minute, also after the quota was raised or other gateways had returned credit. It now relies on a refusal for 0.5 s, the time between its reports; the Retry-After is still the planner's wait.

TestRaisedQuotaServes refused 13 of 180 permitted requests before, none now; the tests of the package pass. TestPlannerWork still counts 374 requests for credit a second at 31 gateways.

--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -71,12 +71,13 @@
 	typical      float64
 	// waiting holds the sizes of the requests that wait for credit.
 	waiting []float64
-	// Until refusedUntil the planner has no credit for requests of refusedUnits or more.
-	refusedUntil time.Time
-	refusedUnits float64
-	fallback     bucket.Bucket
-	inFallback   bool
-	aboveShare   bool
+	// Until refusedUntil the planner expects no credit for requests of refusedUnits or more. It
+	// is asked again from askAgainAt on, because a quota may rise and other gateways return credit.
+	refusedUntil, askAgainAt time.Time
+	refusedUnits             float64
+	fallback                 bucket.Bucket
+	inFallback               bool
+	aboveShare               bool
 	// reported is set if the planner knows of credit, use or demand of the group here.
 	reported bool
 }
@@ -171,7 +172,7 @@
 		return a.takeFallback(now, p, units, gateways)
 	}
 	p.inFallback = false
-	if now.Before(p.refusedUntil) && units >= p.refusedUnits {
+	if now.Before(p.askAgainAt) && units >= p.refusedUnits {
 		// What was refused before this request comes first.
 		return Refused{max(minRefusedWait, p.refusedUntil.Sub(now)+seconds((units-p.refusedUnits)/g.Quota.PerSecond))}
 	}
@@ -271,7 +272,7 @@
 
 // refused reports whether the planner has said that it has no credit for what waits.
 func (p *purse) refused(now time.Time) bool {
-	return now.Before(p.refusedUntil) && (len(p.waiting) == 0 || slices.Min(p.waiting) >= p.refusedUnits)
+	return now.Before(p.askAgainAt) && (len(p.waiting) == 0 || slices.Min(p.waiting) >= p.refusedUnits)
 }
 
 // Next returns the request that is to be sent now: a new one, or the one without a reply again.
@@ -405,9 +406,10 @@
 		}
 		p.aboveShare = e2.AboveShare
 		if e2.Wait > 0 && e.Need > 0 {
-			p.refusedUntil, p.refusedUnits = now.Add(min(e2.Wait, maxWait)), float64(e.Held)+float64(e.Least)
+			p.refusedUntil, p.askAgainAt = now.Add(min(e2.Wait, maxWait)), now.Add(min(e2.Wait, maxRefusal))
+			p.refusedUnits = float64(e.Held) + float64(e.Least)
 		} else if e.Need > 0 {
-			p.refusedUntil = time.Time{}
+			p.refusedUntil, p.askAgainAt = time.Time{}, time.Time{}
 		}
 	}
 	a.open, a.term, a.repliedAt, a.confirmedAt = nil, g.Term, now, a.sentAt
--- a/internal/state/credit/credit.go
+++ b/internal/state/credit/credit.go
@@ -72,6 +72,9 @@
 	maxSends = 3
 	// heartbeat is the time between requests of a gateway without demand, half of reportedWithin.
 	heartbeat = 500 * time.Millisecond
+	// maxRefusal is the time for which a gateway relies on the planner's refusal: that between
+	// its reports. The planner's wait can be a minute, in which the quota or the use may change.
+	maxRefusal = heartbeat
 	// demandAhead is the time for which credit is requested ahead.
 	demandAhead = 600 * time.Millisecond
 	// refillInterval is the least time between requests that no caller waits for; a planner that
