credit: credit of a higher quota ends

A gateway with a little demand kept the credit of a group's former quota for any time, because each spend renews it: after a change from 610,000 tokens a second to a lower quota, or to one in requests, it could be spent in one window long after the change. Credit is now returned 4 s after a gateway sees a lower quota, when the planner has the new one and takes back no more than it allows.

--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -65,6 +65,8 @@
 	returned float64
 	// touchedAt is when credit was last granted or spent.
 	touchedAt time.Time
+	// endsAt is when credit of a higher quota is returned, zero if there is none.
+	endsAt time.Time
 	// demand and used are the rates of the units asked for and spent, typical the mean size of
 	// the requests.
 	demand, used rate
@@ -161,6 +163,9 @@
 		p = &purse{typical: units}
 		a.groups[g.Name] = p
 	}
+	if lowered(p.quota, g.Quota) {
+		p.endsAt = now.Add(configSpread)
+	}
 	p.quota = g.Quota
 	a.expire(now, p)
 	if p.credit >= units {
@@ -203,13 +208,23 @@
 	return Taken{}
 }
 
-// expire drops credit that the planner no longer counts and returns credit that isn't used.
+// lowered reports whether credit of a quota may be more than another quota allows.
+func lowered(from, to fleet.Quota) bool {
+	return from.Limited() && (from.Unit != to.Unit || to.PerSecond < from.PerSecond || to.Burst < from.Burst)
+}
+
+// expire drops credit that the planner no longer counts. It returns credit that isn't used, and
+// that of a higher quota once the planner has the lower one and takes back no more than that allows.
 func (a *Account) expire(now time.Time, p *purse) {
+	ends := !p.endsAt.IsZero() && !now.Before(p.endsAt)
+	if ends {
+		p.endsAt = time.Time{}
+	}
 	switch {
 	case p.credit == 0:
 	case now.Sub(a.confirmedAt) > lifetime:
 		p.credit = 0
-	case now.Sub(p.touchedAt) > unusedAfter:
+	case ends || now.Sub(p.touchedAt) > unusedAfter:
 		p.returned += p.credit
 		p.credit = 0
 	}
--- a/internal/state/credit/change_test.go
+++ b/internal/state/credit/change_test.go
@@ -22,3 +22,46 @@
 		t.Errorf("%d of %d permitted requests refused after the quota was raised", s.refusedLate, n)
 	}
 }
+
+// TestLoweredQuotaEndsCredit guards against credit of a higher quota, or of one in another unit,
+// that a gateway with little demand keeps and spends more than a window after the change.
+func TestLoweredQuotaEndsCredit(t *testing.T) {
+	for name, lower := range map[string]fleet.Quota{
+		"lower rate":   tokens(29_000),
+		"lower burst":  {Unit: fleet.QuotaTokens, PerSecond: 610_000},
+		"another unit": {Unit: fleet.QuotaRequests, PerSecond: 10, Burst: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := fleet.Group{Name: "g", Quota: tokens(610_000)}
+			a, now, seq := NewAccount("a", 1, start), start, uint64(0)
+			// reply grants what the oldest quota allows: the planner may have the change later.
+			reply := func(granted uint32) {
+				if r, ok := a.Next(now); ok {
+					seq = r.Sequence
+					grant := Grant{Term: 1, Sequence: seq, Entries: make([]GrantEntry, len(r.Entries))}
+					for i := range grant.Entries {
+						grant.Entries[i].Granted = granted
+					}
+					a.Apply(now, grant)
+				}
+			}
+			a.Arrive(now, g, 1)
+			reply(300_000)
+			for ; now.Sub(start) < 2*window; now = now.Add(100 * time.Millisecond) {
+				if now.Sub(start) >= time.Second {
+					g.Quota = lower
+				}
+				if now.Sub(start) == time.Second+100*time.Millisecond {
+					reply(100_000)
+				} else {
+					reply(1)
+				}
+				a.Arrive(now, g, 1)
+				a.Take(now, g, 1, 1)
+			}
+			if c := a.Credit(now, "g"); c > 100 {
+				t.Errorf("%.0f units of the former quota are left", c)
+			}
+		})
+	}
+}
--- a/internal/state/credit/credit.go
+++ b/internal/state/credit/credit.go
@@ -65,6 +65,9 @@
 	// unusedAfter is the time after which credit that isn't used is returned: another gateway
 	// may need it.
 	unusedAfter = time.Second
+	// configSpread is the time after which the planner has a configuration that a gateway has. The
+	// platform requires a configuration to apply within 3 s, and replies take up to maxReplyAge.
+	configSpread = 4 * time.Second
 	// resendAfter is the time after which a request without a reply is sent again: a few round
 	// trips, and half of what a caller's request waits for credit.
 	resendAfter = 40 * time.Millisecond
