credit: a gateway that thaws asks the planner before it refuses

After a freeze of about a second or more a gateway took its own silence for the planner's and refused requests by its empty fallback bucket, and it repeated an open request whose reply was too old to be accepted. Such a request is now given up at once, and until the planner can have replied, requests wait for it as usual.

--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -50,6 +50,8 @@
 	open             *Request
 	sends            int
 	sentAt, resentAt time.Time
+	// resumedAt is the first send after a time in which the gateway sent nothing.
+	resumedAt time.Time
 	// reportedAt is when a request last named all groups in use.
 	reportedAt time.Time
 	// repliedAt is when the last reply came, confirmedAt the first send of its request.
@@ -174,7 +176,11 @@
 		return Taken{}
 	}
 	if !a.Connected(now) {
-		return a.takeFallback(now, p, units, gateways)
+		d := a.takeFallback(now, p, units, gateways)
+		if _, refused := d.(Refused); refused && a.silent(now) {
+			return Pending{}
+		}
+		return d
 	}
 	p.inFallback = false
 	if now.Before(p.askAgainAt) && units >= p.refusedUnits {
@@ -184,6 +190,12 @@
 	return Pending{}
 }
 
+// silent reports whether the planner isn't heard because the gateway itself, which was frozen, has
+// sent nothing.
+func (a *Account) silent(now time.Time) bool {
+	return now.Sub(a.resentAt) > maxReplyAge || now.Sub(a.resumedAt) < 2*resendAfter
+}
+
 func (p *purse) spend(now time.Time, units float64) {
 	p.touchedAt = now
 	p.used = p.used.add(now, units)
@@ -296,7 +308,8 @@
 		if now.Sub(a.resentAt) < resendAfter {
 			return Request{}, false
 		}
-		if a.sends < maxSends {
+		// A reply that can't arrive within maxReplyAge would not be accepted.
+		if a.sends < maxSends && now.Sub(a.sentAt)+resendAfter <= maxReplyAge {
 			a.sends++
 			a.resentAt = now
 			return *a.open, true
@@ -306,6 +319,9 @@
 	if !a.due(now) {
 		return Request{}, false
 	}
+	if now.Sub(a.resentAt) > maxReplyAge {
+		a.resumedAt = now
+	}
 	a.sequence++
 	r := Request{Gateway: a.gateway, Incarnation: a.incarnation, Sequence: a.sequence, Entries: a.entries(now)}
 	a.open, a.sends, a.sentAt, a.resentAt = &r, 1, now, now
--- a/internal/state/credit/change_test.go
+++ b/internal/state/credit/change_test.go
@@ -65,3 +65,28 @@
 		})
 	}
 }
+
+// TestRequestsAfterFreeze guards against permitted requests that are refused when a gateway thaws
+// while the planner is reachable: the gateway repeats a request whose reply is too old to be
+// accepted, or takes its own silence for the planner's.
+func TestRequestsAfterFreeze(t *testing.T) {
+	for _, frozen := range []time.Duration{200 * time.Millisecond, maxReplyAge + 4*simStep, 2 * time.Second, 5 * time.Second} {
+		s := newSim(1, 4, tokens(200_000))
+		s.play(4*time.Second, 0.5, func(time.Duration) int { return 0 })
+		for s.gws[0].account.open == nil {
+			s.step()
+		}
+		s.freeze(true)
+		s.play(frozen, 0, nil)
+		s.freeze(false)
+		s.refused = 0
+		for range 3 {
+			s.offer(0, 5000)
+			s.step()
+		}
+		s.play(creditWait+2*simStep, 0, nil)
+		if s.refused > 0 {
+			t.Errorf("%d of 3 permitted requests refused after a freeze of %v", s.refused, frozen)
+		}
+	}
+}
