control, proxy: 503 while the planner doesn't reply

In the 1.5 s before a gateway notices that the planner is lost, requests that had waited 80 ms in vain got 429, although nobody knew whether the quota was used up; a proper request that gets a 4xx is a fault. Quotas.Take now returns no wait in that case, and the caller gets 503 with a Retry-After.

--- a/internal/transport/control/credit.go
+++ b/internal/transport/control/credit.go
@@ -24,8 +24,9 @@
 	// creditTick is the time between checks whether a request for credit is due, half of the
 	// time after which one is sent again.
 	creditTick = 20 * time.Millisecond
-	// noReplyRetryAfter is the wait that a refused caller is told if the planner didn't reply.
-	noReplyRetryAfter = 300 * time.Millisecond
+	// pendingRetryAfter is the wait that a refused caller is told if the planner replied while it
+	// waited, but granted what others wait for.
+	pendingRetryAfter = 300 * time.Millisecond
 )
 
 // Credits is a gateway's credit in the groups' quotas, which it gets from the planner. It
@@ -63,7 +64,7 @@
 func (c *Credits) Take(ctx context.Context, g fleet.Group, units float64) (time.Duration, bool) {
 	c.anyLimited()
 	now := steadyNow()
-	deadline := now.Add(creditWait)
+	arrived, deadline := now, now.Add(creditWait)
 	c.mu.Lock()
 	c.account.Arrive(now, g, units)
 	for {
@@ -81,8 +82,12 @@
 		case credit.Pending:
 		}
 		if !now.Before(deadline) || ctx.Err() != nil {
+			replied := c.account.PlannerAge(now) < now.Sub(arrived)
 			c.mu.Unlock()
-			return noReplyRetryAfter, false
+			if !replied {
+				return 0, false
+			}
+			return pendingRetryAfter, false
 		}
 		c.account.Wait(g.Name, units)
 		granted := c.granted
--- a/internal/transport/control/credit_test.go
+++ b/internal/transport/control/credit_test.go
@@ -74,6 +74,19 @@
 	if _, ok := a.pool.handle(credit.Request{Gateway: "b"}); ok {
 		t.Error("a gateway without the lease grants credit")
 	}
+	// Until the planner's silence is noticed, nobody knows what is left of the quota.
+	unknown := 0
+	for lost := time.Now(); time.Since(lost) < time.Second; time.Sleep(time.Millisecond) {
+		asked := time.Now()
+		if wait, ok := b.Credits().Take(context.Background(), group, 5000); !ok && time.Since(asked) >= creditWait {
+			if unknown++; wait != 0 {
+				t.Errorf("refused for %v without a reply", wait)
+			}
+		}
+	}
+	if unknown == 0 {
+		t.Error("no request waited for the lost planner")
+	}
 }
 
 // TestNoQuotaNoRequest guards against requests for credit while no group has a quota.
--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -18,7 +18,7 @@
 // Quotas says which requests are within the quotas of their groups over all gateways.
 type Quotas interface {
 	// Take takes units of a group's quota, or returns false and the time until it covers them.
-	// It waits for the planner for a bounded time.
+	// It waits for the planner for a bounded time; without a reply in it, the time is zero.
 	Take(ctx context.Context, group fleet.Group, units float64) (wait time.Duration, ok bool)
 	// Return gives back what was taken for a request that has not run.
 	Return(group fleet.Group, units float64)
@@ -30,6 +30,10 @@
 	AboveShare(group string) bool
 }
 
+// noReplyRetryAfter is the Retry-After while the planner doesn't reply: a lost datagram has been
+// sent again by then, and the gateway uses its share 1.5 s after the last reply.
+const noReplyRetryAfter = 300 * time.Millisecond
+
 // takeQuota takes the cost of a request from its group's quota. If the quota doesn't cover it,
 // takeQuota responds and returns false.
 func (h *Handler) takeQuota(c *call) bool {
@@ -48,11 +52,14 @@
 	case c.ctx.Err() != nil:
 		reason = "left"
 		c.outcome = "client_left"
-	case h.cfg.Quotas.Confirmed():
+	case wait > 0 && h.cfg.Quotas.Confirmed():
 		h.rejectWith(c, http.StatusTooManyRequests, reason, wait)
 	default:
 		// Nobody knows whether the quota is used up.
 		reason = "quota_unknown"
+		if wait <= 0 {
+			wait = noReplyRetryAfter
+		}
 		h.reject(c, reason, wait)
 	}
 	h.metrics.quotaRefusals.WithLabelValues(reason).Inc()
--- a/internal/transport/proxy/quota_test.go
+++ b/internal/transport/proxy/quota_test.go
@@ -21,12 +21,17 @@
 	mu                 sync.Mutex
 	left               float64
 	unconfirmed, above bool
-	served             []bool
+	// silent means that the planner doesn't reply.
+	silent bool
+	served []bool
 }
 
 func (f *fakeQuotas) Take(_ context.Context, _ fleet.Group, units float64) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.silent {
+		return 0, false
+	}
 	if f.left < units {
 		return 1234 * time.Millisecond, false
 	}
@@ -62,15 +67,15 @@
 // against 429 while nobody knows what is left of the quota.
 func TestQuotaRefusal(t *testing.T) {
 	for _, tc := range []struct {
-		unconfirmed bool
-		status      int
-		outcome     string
-	}{{false, 429, "over_quota"}, {true, 503, "quota_unknown"}} {
-		h, c, w := quotaCall(&fakeQuotas{left: 99, unconfirmed: tc.unconfirmed}, "60,40")
+		unconfirmed, silent bool
+		status              int
+		outcome             string
+	}{{false, false, 429, "over_quota"}, {true, false, 503, "quota_unknown"}, {false, true, 503, "quota_unknown"}} {
+		h, c, w := quotaCall(&fakeQuotas{left: 99, unconfirmed: tc.unconfirmed, silent: tc.silent}, "60,40")
 		if h.takeQuota(c) || w.Code != tc.status || c.outcome != tc.outcome || w.Header().Get("Retry-After") == "" {
 			t.Errorf("status %d, outcome %q, header %v", w.Code, c.outcome, w.Header())
 		}
-		if got := w.Header().Get("Retry-After"); !tc.unconfirmed && got != "1.24" {
+		if got := w.Header().Get("Retry-After"); tc.status == 429 && got != "1.24" {
 			t.Errorf("Retry-After %s is before the budget covers the request", got)
 		}
 	}
