credit: a gateway returns credit that its demand no longer needs

Credit was returned only if none of it was used for a second, so a gateway whose demand fell to a request now and then kept what it had asked for at its peak, and other gateways lacked it. With each report a gateway now returns what exceeds twice the credit that it wants ahead.

--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -284,6 +284,18 @@
 	return max(p.typical, p.demand.perSecond(now)*demandAhead.Seconds())
 }
 
+// returnSurplus returns credit that the demand doesn't need any more, although some of it is used.
+func (p *purse) returnSurplus(now time.Time) {
+	need := surplusFrom * p.ahead(now)
+	for _, n := range p.waiting {
+		need += n
+	}
+	if over := math.Floor(p.credit - need); over > 0 {
+		p.credit -= over
+		p.returned += over
+	}
+}
+
 // missing returns the units that the waiting requests need beyond the credit, and those that the
 // smallest of them needs.
 func (p *purse) missing() (need, least float64) {
@@ -371,6 +383,9 @@
 	}
 	for name, p := range a.groups {
 		a.expire(now, p)
+		if all {
+			p.returnSurplus(now)
+		}
 		e := Entry{Group: name, Held: whole(math.Ceil(p.credit)), Returned: whole(p.returned), UsedPerSecond: whole(p.used.perSecond(now))}
 		if !p.refused(now) {
 			need, least := p.missing()
--- a/internal/state/credit/change_test.go
+++ b/internal/state/credit/change_test.go
@@ -90,3 +90,28 @@
 		}
 	}
 }
+
+// TestIdleCreditReturned guards against credit for a burst that a gateway with a single request
+// now and then keeps for itself, so that the group's burst is refused at another gateway.
+func TestIdleCreditReturned(t *testing.T) {
+	s := newSim(1, 4, fleet.Quota{Unit: fleet.QuotaTokens, PerSecond: 200_000, Burst: 400_000})
+	s.play(6*time.Second, 0, nil)
+	// A gateway with much demand is left with a request every half second.
+	s.play(3*time.Second, 0.9, func(time.Duration) int { return 0 })
+	for range 20 {
+		s.play(500*time.Millisecond, 0, nil)
+		s.offer(0, 1000)
+	}
+	held := s.gws[0].account.Credit(s.now, "g")
+	if most := 2 * float64(10_000); held > most {
+		t.Errorf("%.0f units lie at a gateway that uses 2,000 a second", held)
+	}
+	s.refused = 0
+	for range 40 {
+		s.offer(1, 10_000)
+	}
+	s.play(creditWait+2*simStep, 0, nil)
+	if s.refused > 0 {
+		t.Errorf("%d of 40 requests within the group's burst refused", s.refused)
+	}
+}
--- a/internal/state/credit/credit.go
+++ b/internal/state/credit/credit.go
@@ -85,6 +85,9 @@
 	refillInterval = 100 * time.Millisecond
 	// refillBelow is the part of the credit wanted ahead below which more is requested.
 	refillBelow = 0.5
+	// surplusFrom is the multiple of the credit wanted ahead from which the rest is returned, so
+	// that demand that varies by half doesn't return and request credit in turn.
+	surplusFrom = 2
 	// rateTime is the time constant of the measured rates of demand and use. Demand moves
 	// between gateways within seconds.
 	rateTime = time.Second
