credit: credit ahead leaves a group's burst in the bucket

Credit ahead could take three quarters of a group's bucket. With 31 gateways and more, each wanting at least a typical request, a burst within the quota at one gateway was refused because the units lay at the others. The planner now grants ahead at most what the bucket and the gateways hold beyond the burst, or a quarter while less than that is there.

--- a/internal/state/credit/change_test.go
+++ b/internal/state/credit/change_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"chervilhead/internal/state/bucket"
 	"chervilhead/internal/state/fleet"
 )
 
@@ -115,3 +116,88 @@
 		t.Errorf("%d of 40 requests within the group's burst refused", s.refused)
 	}
 }
+
+// TestSmallQuotas guards against permitted requests of a group with a small limit that are refused
+// because its few units lie as credit ahead at many gateways. An ideal bucket of the quota says
+// which requests are permitted.
+func TestSmallQuotas(t *testing.T) {
+	t.Parallel()
+	for _, gateways := range []int{31, 103} {
+		for _, q := range []fleet.Quota{
+			{PerSecond: 2, Burst: 4}, {PerSecond: 5, Burst: 10}, {PerSecond: 40, Burst: 0}, {PerSecond: 40, Burst: 40}, {PerSecond: 0.2, Burst: 5},
+			{Unit: fleet.QuotaTokens, PerSecond: 2000, Burst: 12_000}, {Unit: fleet.QuotaTokens, PerSecond: 29_000, Burst: 0},
+		} {
+			s := newSim(1, gateways, q)
+			size := func() float64 { return 1 }
+			if q.Unit == fleet.QuotaTokens {
+				size = s.size
+			}
+			// The planner's bucket is full after the time in which the quota fills it.
+			s.play(2*time.Second+time.Duration(float64(time.Second)*capacity(q)/q.PerSecond), 0, nil)
+			s.refused, s.refusedLate = 0, 0
+			ideal, offered, due := bucket.Bucket{}.WithCapacity(max(q.Burst, size())).WithRate(s.now, q.PerSecond), 0, 0.0
+			for range 60 * time.Second / simStep {
+				s.step()
+				// Half of the quota on average, in bursts at random times.
+				due += 0.55 * q.PerSecond * simStep.Seconds()
+				if due < 1 || s.rng.IntN(100) > 0 {
+					continue
+				}
+				for due > 0 {
+					n := size()
+					due -= n
+					var ok bool
+					if ideal, _, ok = ideal.Take(s.now, n); ok {
+						offered++
+						s.offer(s.rng.IntN(gateways), n)
+					}
+				}
+			}
+			t.Logf("%d gateways, %+v: %d of %d requests refused", gateways, q, s.refused, offered)
+			if s.refused > 0 {
+				t.Errorf("%d gateways, %+v: %d of %d permitted requests refused", gateways, q, s.refused, offered)
+			}
+		}
+	}
+}
+
+// TestBurstAfterUse guards against a burst within the quota that is refused at one gateway because
+// the others hold the group's units as credit ahead.
+func TestBurstAfterUse(t *testing.T) {
+	for _, gateways := range []int{31, 103} {
+		for _, q := range []fleet.Quota{{PerSecond: 40, Burst: 40}, {PerSecond: 10, Burst: 100}, tokens(29_000), tokens(200_000), tokens(610_000)} {
+			s := newSim(1, gateways, q)
+			size := func() float64 { return 1 }
+			if q.Unit == fleet.QuotaTokens {
+				size = s.size
+			}
+			s.play(2*time.Second+time.Duration(float64(time.Second)*capacity(q)/q.PerSecond), 0, nil)
+			s.refused = 0
+			offered := 0
+			for range 10 {
+				// The bucket stays full: the use is below the rate.
+				for due, i := 0.0, 0; i < int(2*time.Second/simStep); i++ {
+					s.step()
+					for due += 0.55 * q.PerSecond * simStep.Seconds(); due > 0; offered++ {
+						n := size()
+						due -= n
+						s.offer(s.rng.IntN(gateways), n)
+					}
+				}
+				for left := 0.9 * q.Burst; ; offered++ {
+					n := size()
+					if left -= n; left < 0 {
+						break
+					}
+					s.offer(3, n)
+				}
+				// The bucket fills again.
+				s.play(2*time.Second+time.Duration(q.Burst/q.PerSecond*float64(time.Second)), 0, nil)
+			}
+			t.Logf("%d gateways, %+v: %d of %d requests refused", gateways, q, s.refused, offered)
+			if s.refused > 0 {
+				t.Errorf("%d gateways, %+v: %d of %d permitted requests refused", gateways, q, s.refused, offered)
+			}
+		}
+	}
+}
--- a/internal/state/credit/pool.go
+++ b/internal/state/credit/pool.go
@@ -18,6 +18,10 @@
 	// aheadReserve is the part of a bucket that isn't granted ahead: credit that lies unused at
 	// one gateway is missing at the others.
 	aheadReserve = 0.25
+	// minAheadPart is the part of a bucket that may be granted ahead although it may be missing
+	// in a burst: while the planner has just begun or many gateways are missing, less than a
+	// burst is there in any case, and each request without credit asks the planner.
+	minAheadPart = 0.25
 	// maxWait bounds the time that callers are told to wait.
 	maxWait = time.Minute
 )
@@ -128,7 +132,10 @@
 	}
 	switch {
 	case level >= need:
-		granted = e.Need + whole(min(float64(e.Ahead), level-need-aheadReserve*most))
+		// A burst may come to any gateway: what lies at the others is at most what the gateways
+		// and the bucket hold beyond the burst.
+		spare := max(most-q.Burst, minAheadPart*most) - a.held - need
+		granted = e.Need + whole(min(float64(e.Ahead), level-need-aheadReserve*most, spare))
 	case level >= enough && least > 0:
 		// More than one request's units could be too few for the next one and lie unused.
 		granted = e.Least
