credit: small groups at their usual use aren't above their share

The use that is compared with a group's share was measured over one second, in which the use of most groups varies by more than a quarter. While one group floods and engines have requests waiting, the others' requests then yield as well. The use is now averaged over 4 s, and a group above its share exceeds it by at least a hundredth of all use.

--- a/internal/state/credit/pool.go
+++ b/internal/state/credit/pool.go
@@ -15,6 +15,9 @@
 	// waitPerGateway bounds the requests for credit of a group that has none: each gateway asks
 	// again after this time for each gateway, so that all together ask a thousand times a second.
 	waitPerGateway = time.Millisecond
+	// shareTime is the time constant of the use that is compared with a group's share: within a
+	// second, groups of 30 requests a second and less differ from their mean by aboveShare.
+	shareTime = 4 * time.Second
 	// aheadReserve is the part of a bucket that isn't granted ahead: credit that lies unused at
 	// one gateway is missing at the others.
 	aheadReserve = 0.25
@@ -40,7 +43,9 @@
 	term      uint64
 	startedAt time.Time
 	sweptAt   time.Time
-	members   map[string]*member
+	// meanAt is when the groups' mean use was last updated.
+	meanAt  time.Time
+	members map[string]*member
 	// reported counts the members that reported within reportedWithin at the last sweep.
 	reported int
 	groups   map[string]*account
@@ -62,7 +67,9 @@
 type account struct {
 	bucket     bucket.Bucket
 	held, used float64
-	above      bool
+	// meanUsed is used over shareTime.
+	meanUsed float64
+	above    bool
 }
 
 // NewPool returns the pool of a planner that has just taken the lease; its buckets are empty.
@@ -225,7 +232,8 @@
 	if now.Sub(p.sweptAt) < sweepInterval {
 		return
 	}
-	p.sweptAt, p.reported = now, 0
+	weight := 1 - decay(now.Sub(p.meanAt), shareTime)
+	p.sweptAt, p.meanAt, p.reported = now, now, 0
 	for id, m := range p.members {
 		silent := now.Sub(m.reportedAt)
 		if silent <= reportedWithin {
@@ -246,7 +254,8 @@
 		// The rate changes with the number of missing gateways also for a group without requests.
 		a.bucket = p.refill(now, a, q, f)
 		p.cut(now, a, q, f)
-		uses[name] = Use{Quota: q, PerSecond: a.used}
+		a.meanUsed += weight * (a.used - a.meanUsed)
+		uses[name] = Use{Quota: q, PerSecond: a.meanUsed}
 	}
 	above := AboveShare(uses)
 	for name, a := range p.groups {
--- a/internal/state/credit/share.go
+++ b/internal/state/credit/share.go
@@ -18,6 +18,11 @@
 // the same part of their quotas differ by less than that within a second or two.
 const aboveShare = 1.25
 
+// minExcess is the part of the use of all groups by which a group above its share exceeds it. The
+// use of a small group varies by more than aboveShare from second to second, and less than that
+// holds up nobody.
+const minExcess = 0.01
+
 // AboveShare returns the groups whose use exceeds their share, weighted by quotas, of the use of
 // all groups with the same unit.
 func AboveShare(uses map[string]Use) map[string]bool {
@@ -28,7 +33,8 @@
 	}
 	out := map[string]bool{}
 	for name, u := range uses {
-		if i := u.Quota.Unit; u.PerSecond*quota[i] > aboveShare*used[i]*u.Quota.PerSecond {
+		i := u.Quota.Unit
+		if share := used[i] * u.Quota.PerSecond / quota[i]; u.PerSecond > max(aboveShare*share, share+minExcess*used[i]) {
 			out[name] = true
 		}
 	}
