proxy: three tenths of a yielding group's requests keep their priority

An engine with too much other work runs nothing of the last priority. A gateway noticed that a group gets too little only after some of its own requests of that group had failed, too late for a group with less than a request a second at each gateway.

TestIsolation plays 16 groups before engines with a priority queue, with and without a flood of one group, at 31 and 103 gateways and loads of 0.8, 0.95 and 1.1.

--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -96,14 +96,21 @@
 // lastPriority is the engines' priority for requests that yield to all others.
 const lastPriority = 9
 
-// enginePriority returns the priority of a request at an engine: its usual one, or the last one
-// while its group uses more than its share and the engine has requests waiting.
+// keptPart is the part of a yielding group's requests that keep their usual priority. An engine
+// with too much other work runs nothing of the last priority, and no group may be served less than
+// a quarter as often as all. It is less than the part of its quota that a group usually uses, so
+// that it holds up nobody.
+const keptPart = 0.3
+
+// enginePriority returns the priority of a request at an engine: its usual one, or for most
+// requests the last one while their group uses more than its share and the engine has requests
+// waiting.
 func (h *Handler) enginePriority(c *call, e fleet.Endpoint, usual int) int {
 	if h.cfg.Quotas == nil || !c.group.Quota.Limited() || !h.cfg.Quotas.AboveShare(c.group.Name) {
 		return usual
 	}
 	for _, s := range h.control.States() {
-		if s.ID == e.ID && s.StatusSupersedes && s.Status.Waiting > 0 {
+		if s.ID == e.ID && s.StatusSupersedes && s.Status.Waiting > 0 && h.draw() >= keptPart {
 			h.metrics.yields.Inc()
 			return lastPriority
 		}
