--- a/internal/state/credit/change_test.go
+++ b/internal/state/credit/change_test.go
@@ -124,8 +124,13 @@
 	t.Parallel()
 	for _, gateways := range []int{31, 103} {
 		for _, q := range []fleet.Quota{
-			{PerSecond: 2, Burst: 4}, {PerSecond: 5, Burst: 10}, {PerSecond: 40, Burst: 0}, {PerSecond: 40, Burst: 40}, {PerSecond: 0.2, Burst: 5},
-			{Unit: fleet.QuotaTokens, PerSecond: 2000, Burst: 12_000}, {Unit: fleet.QuotaTokens, PerSecond: 29_000, Burst: 0},
+			{PerSecond: 2, Burst: 4},
+			{PerSecond: 5, Burst: 10},
+			{PerSecond: 40, Burst: 0},
+			{PerSecond: 40, Burst: 40},
+			{PerSecond: 0.2, Burst: 5},
+			{Unit: fleet.QuotaTokens, PerSecond: 2000, Burst: 12_000},
+			{Unit: fleet.QuotaTokens, PerSecond: 29_000, Burst: 0},
 		} {
 			s := newSim(1, gateways, q)
 			size := func() float64 { return 1 }
