--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -50,6 +50,8 @@
 	open             *Request
 	sends            int
 	sentAt, resentAt time.Time
+	// resumedAt is the first send after a time in which the gateway sent nothing.
+	resumedAt time.Time
 	// reportedAt is when a request last named all groups in use.
 	reportedAt time.Time
 	// repliedAt is when the last reply came, confirmedAt the first send of its request.
@@ -65,18 +67,21 @@
 	returned float64
 	// touchedAt is when credit was last granted or spent.
 	touchedAt time.Time
+	// endsAt is when credit of a higher quota is returned, zero if there is none.
+	endsAt time.Time
 	// demand and used are the rates of the units asked for and spent, typical the mean size of
 	// the requests.
 	demand, used rate
 	typical      float64
 	// waiting holds the sizes of the requests that wait for credit.
 	waiting []float64
-	// Until refusedUntil the planner has no credit for requests of refusedUnits or more.
-	refusedUntil time.Time
-	refusedUnits float64
-	fallback     bucket.Bucket
-	inFallback   bool
-	aboveShare   bool
+	// Until refusedUntil the planner expects no credit for requests of refusedUnits or more. It
+	// is asked again from askAgainAt on, because a quota may rise and other gateways return credit.
+	refusedUntil, askAgainAt time.Time
+	refusedUnits             float64
+	fallback                 bucket.Bucket
+	inFallback               bool
+	aboveShare               bool
 	// reported is set if the planner knows of credit, use or demand of the group here.
 	reported bool
 }
@@ -160,6 +165,9 @@
 		p = &purse{typical: units}
 		a.groups[g.Name] = p
 	}
+	if lowered(p.quota, g.Quota) {
+		p.endsAt = now.Add(configSpread)
+	}
 	p.quota = g.Quota
 	a.expire(now, p)
 	if p.credit >= units {
@@ -168,16 +176,26 @@
 		return Taken{}
 	}
 	if !a.Connected(now) {
-		return a.takeFallback(now, p, units, gateways)
+		d := a.takeFallback(now, p, units, gateways)
+		if _, refused := d.(Refused); refused && a.silent(now) {
+			return Pending{}
+		}
+		return d
 	}
 	p.inFallback = false
-	if now.Before(p.refusedUntil) && units >= p.refusedUnits {
+	if now.Before(p.askAgainAt) && units >= p.refusedUnits {
 		// What was refused before this request comes first.
 		return Refused{max(minRefusedWait, p.refusedUntil.Sub(now)+seconds((units-p.refusedUnits)/g.Quota.PerSecond))}
 	}
 	return Pending{}
 }
 
+// silent reports whether the planner isn't heard because the gateway itself, which was frozen, has
+// sent nothing.
+func (a *Account) silent(now time.Time) bool {
+	return now.Sub(a.resentAt) > maxReplyAge || now.Sub(a.resumedAt) < 2*resendAfter
+}
+
 func (p *purse) spend(now time.Time, units float64) {
 	p.touchedAt = now
 	p.used = p.used.add(now, units)
@@ -202,13 +220,23 @@
 	return Taken{}
 }
 
-// expire drops credit that the planner no longer counts and returns credit that isn't used.
+// lowered reports whether credit of a quota may be more than another quota allows.
+func lowered(from, to fleet.Quota) bool {
+	return from.Limited() && (from.Unit != to.Unit || to.PerSecond < from.PerSecond || to.Burst < from.Burst)
+}
+
+// expire drops credit that the planner no longer counts. It returns credit that isn't used, and
+// that of a higher quota once the planner has the lower one and takes back no more than that allows.
 func (a *Account) expire(now time.Time, p *purse) {
+	ends := !p.endsAt.IsZero() && !now.Before(p.endsAt)
+	if ends {
+		p.endsAt = time.Time{}
+	}
 	switch {
 	case p.credit == 0:
 	case now.Sub(a.confirmedAt) > lifetime:
 		p.credit = 0
-	case now.Sub(p.touchedAt) > unusedAfter:
+	case ends || now.Sub(p.touchedAt) > unusedAfter:
 		p.returned += p.credit
 		p.credit = 0
 	}
@@ -256,6 +284,18 @@
 	return max(p.typical, p.demand.perSecond(now)*demandAhead.Seconds())
 }
 
+// returnSurplus returns credit that the demand doesn't need any more, although some of it is used.
+func (p *purse) returnSurplus(now time.Time) {
+	need := surplusFrom * p.ahead(now)
+	for _, n := range p.waiting {
+		need += n
+	}
+	if over := math.Floor(p.credit - need); over > 0 {
+		p.credit -= over
+		p.returned += over
+	}
+}
+
 // missing returns the units that the waiting requests need beyond the credit, and those that the
 // smallest of them needs.
 func (p *purse) missing() (need, least float64) {
@@ -271,7 +311,7 @@
 
 // refused reports whether the planner has said that it has no credit for what waits.
 func (p *purse) refused(now time.Time) bool {
-	return now.Before(p.refusedUntil) && (len(p.waiting) == 0 || slices.Min(p.waiting) >= p.refusedUnits)
+	return now.Before(p.askAgainAt) && (len(p.waiting) == 0 || slices.Min(p.waiting) >= p.refusedUnits)
 }
 
 // Next returns the request that is to be sent now: a new one, or the one without a reply again.
@@ -280,7 +320,8 @@
 		if now.Sub(a.resentAt) < resendAfter {
 			return Request{}, false
 		}
-		if a.sends < maxSends {
+		// A reply that can't arrive within maxReplyAge would not be accepted.
+		if a.sends < maxSends && now.Sub(a.sentAt)+resendAfter <= maxReplyAge {
 			a.sends++
 			a.resentAt = now
 			return *a.open, true
@@ -290,6 +331,9 @@
 	if !a.due(now) {
 		return Request{}, false
 	}
+	if now.Sub(a.resentAt) > maxReplyAge {
+		a.resumedAt = now
+	}
 	a.sequence++
 	r := Request{Gateway: a.gateway, Incarnation: a.incarnation, Sequence: a.sequence, Entries: a.entries(now)}
 	a.open, a.sends, a.sentAt, a.resentAt = &r, 1, now, now
@@ -339,6 +383,9 @@
 	}
 	for name, p := range a.groups {
 		a.expire(now, p)
+		if all {
+			p.returnSurplus(now)
+		}
 		e := Entry{Group: name, Held: whole(math.Ceil(p.credit)), Returned: whole(p.returned), UsedPerSecond: whole(p.used.perSecond(now))}
 		if !p.refused(now) {
 			need, least := p.missing()
@@ -405,9 +452,10 @@
 		}
 		p.aboveShare = e2.AboveShare
 		if e2.Wait > 0 && e.Need > 0 {
-			p.refusedUntil, p.refusedUnits = now.Add(min(e2.Wait, maxWait)), float64(e.Held)+float64(e.Least)
+			p.refusedUntil, p.askAgainAt = now.Add(min(e2.Wait, maxWait)), now.Add(min(e2.Wait, maxRefusal))
+			p.refusedUnits = float64(e.Held) + float64(e.Least)
 		} else if e.Need > 0 {
-			p.refusedUntil = time.Time{}
+			p.refusedUntil, p.askAgainAt = time.Time{}, time.Time{}
 		}
 	}
 	a.open, a.term, a.repliedAt, a.confirmedAt = nil, g.Term, now, a.sentAt
--- a/internal/state/credit/credit.go
+++ b/internal/state/credit/credit.go
@@ -65,6 +65,9 @@
 	// unusedAfter is the time after which credit that isn't used is returned: another gateway
 	// may need it.
 	unusedAfter = time.Second
+	// configSpread is the time after which the planner has a configuration that a gateway has. The
+	// platform requires a configuration to apply within 3 s, and replies take up to maxReplyAge.
+	configSpread = 4 * time.Second
 	// resendAfter is the time after which a request without a reply is sent again: a few round
 	// trips, and half of what a caller's request waits for credit.
 	resendAfter = 40 * time.Millisecond
@@ -72,6 +75,9 @@
 	maxSends = 3
 	// heartbeat is the time between requests of a gateway without demand, half of reportedWithin.
 	heartbeat = 500 * time.Millisecond
+	// maxRefusal is the time for which a gateway relies on the planner's refusal: that between
+	// its reports. The planner's wait can be a minute, in which the quota or the use may change.
+	maxRefusal = heartbeat
 	// demandAhead is the time for which credit is requested ahead.
 	demandAhead = 600 * time.Millisecond
 	// refillInterval is the least time between requests that no caller waits for; a planner that
@@ -79,6 +85,9 @@
 	refillInterval = 100 * time.Millisecond
 	// refillBelow is the part of the credit wanted ahead below which more is requested.
 	refillBelow = 0.5
+	// surplusFrom is the multiple of the credit wanted ahead from which the rest is returned, so
+	// that demand that varies by half doesn't return and request credit in turn.
+	surplusFrom = 2
 	// rateTime is the time constant of the measured rates of demand and use. Demand moves
 	// between gateways within seconds.
 	rateTime = time.Second
--- a/internal/transport/control/credit.go
+++ b/internal/transport/control/credit.go
@@ -27,8 +27,9 @@
 	// creditTick is the time between checks whether a request for credit is due, half of the
 	// time after which one is sent again.
 	creditTick = 20 * time.Millisecond
-	// noReplyRetryAfter is the wait that a refused caller is told if the planner didn't reply.
-	noReplyRetryAfter = 300 * time.Millisecond
+	// pendingRetryAfter is the wait that a refused caller is told if the planner replied while it
+	// waited, but granted what others wait for.
+	pendingRetryAfter = 300 * time.Millisecond
 )
 
 // Credits is a gateway's credit in the groups' quotas, which it gets from the planner. It
@@ -65,9 +66,8 @@
 // Take implements proxy.Quotas.
 func (c *Credits) Take(ctx context.Context, g fleet.Group, units float64, patience time.Duration) (time.Duration, bool) {
 	c.anyLimited()
-	began := steadyNow()
-	now := began
-	deadline := now.Add(max(creditWait, patience))
+	now := steadyNow()
+	arrived, deadline, replyBy := now, now.Add(max(creditWait, patience)), now.Add(creditWait)
 	c.mu.Lock()
 	c.account.Arrive(now, g, units)
 	for {
@@ -83,28 +83,38 @@
 			if now.Add(d.Wait).After(deadline) || patience < d.Wait || ctx.Err() != nil {
 				c.mu.Unlock()
 				// What a request has waited in vain is likely to be too short again.
-				return max(d.Wait, futileWaitFactor*now.Sub(began)), false
+				return max(d.Wait, futileWaitFactor*now.Sub(arrived)), false
 			}
 			// The group's budget covers the request before its caller notices the wait.
 			c.account.Wait(g.Name, units)
 			c.mu.Unlock()
 			_ = waitForChange(ctx, nil, d.Wait)
 			now = steadyNow()
+			replyBy = now.Add(creditWait)
 			c.mu.Lock()
 			c.account.Leave(g.Name, units)
 			continue
 		case credit.Pending:
 		}
-		if !now.Before(deadline) || ctx.Err() != nil {
+		if !now.Before(deadline) || !now.Before(replyBy) || ctx.Err() != nil {
+			replied := c.account.PlannerAge(now) < now.Sub(arrived)
 			c.mu.Unlock()
-			return noReplyRetryAfter, false
+			if !replied {
+				return 0, false
+			}
+			return pendingRetryAfter, false
 		}
 		c.account.Wait(g.Name, units)
 		granted := c.granted
 		c.mu.Unlock()
 		c.send()
-		_ = waitForChange(ctx, granted, deadline.Sub(now))
+		_ = waitForChange(ctx, granted, min(deadline.Sub(now), replyBy.Sub(now)))
 		now = steadyNow()
+		select {
+		case <-granted:
+			replyBy = now.Add(creditWait)
+		default:
+		}
 		c.mu.Lock()
 		c.account.Leave(g.Name, units)
 	}
--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -18,7 +18,8 @@
 // Quotas says which requests are within the quotas of their groups over all gateways.
 type Quotas interface {
 	// Take takes units of a group's quota, or returns false and the time until it covers them.
-	// It waits up to patience for the quota to cover them, and a bounded time for the planner.
+	// It waits up to patience for the quota to cover them, and a bounded time for the planner;
+	// without a reply in it, the time is zero.
 	Take(ctx context.Context, group fleet.Group, units float64, patience time.Duration) (wait time.Duration, ok bool)
 	// Return gives back what was taken for a request that has not run.
 	Return(group fleet.Group, units float64)
@@ -34,6 +35,9 @@
 // quota covers it. A refused caller comes back later than that, and the rest is left for its answer
 // to be on time.
 const quotaObjectiveShare = 0.5
+// noReplyRetryAfter is the Retry-After while the planner doesn't reply: a lost datagram has been
+// sent again by then, and the gateway uses its share 1.5 s after the last reply.
+const noReplyRetryAfter = 300 * time.Millisecond
 
 // takeQuota takes the cost of a request from its group's quota. If the quota doesn't cover it,
 // takeQuota responds and returns false.
@@ -58,11 +62,14 @@
 	case c.in.Context().Err() != nil:
 		reason = "left"
 		c.outcome = "client_left"
-	case h.cfg.Quotas.Confirmed():
+	case wait > 0 && h.cfg.Quotas.Confirmed():
 		h.rejectWith(c, http.StatusTooManyRequests, reason, wait)
 	default:
 		// Nobody knows whether the quota is used up.
 		reason = "quota_unknown"
+		if wait <= 0 {
+			wait = noReplyRetryAfter
+		}
 		h.reject(c, reason, wait)
 	}
 	h.metrics.quotaRefusals.WithLabelValues(reason).Inc()
@@ -99,14 +106,21 @@
 // lastPriority is the engines' priority for requests that yield to all others.
 const lastPriority = 9
 
-// enginePriority returns the priority of a request at an engine: its usual one, or the last one
-// while its group uses more than its share and the engine has requests waiting.
+// keptPart is the part of a yielding group's requests that keep their usual priority. An engine
+// with too much other work runs nothing of the last priority, and no group may be served less than
+// a quarter as often as all. It is less than the part of its quota that a group usually uses, so
+// that it holds up nobody.
+const keptPart = 0.3
+
+// enginePriority returns the priority of a request at an engine: its usual one, or for most
+// requests the last one while their group uses more than its share and the engine has requests
+// waiting.
 func (h *Handler) enginePriority(c *call, e fleet.Endpoint, usual int) int {
 	if h.cfg.Quotas == nil || !c.group.Quota.Limited() || !h.cfg.Quotas.AboveShare(c.group.Name) {
 		return usual
 	}
 	for _, s := range h.control.States() {
-		if s.ID == e.ID && s.StatusSupersedes && s.Status.Waiting > 0 {
+		if s.ID == e.ID && s.StatusSupersedes && s.Status.Waiting > 0 && h.draw() >= keptPart {
 			h.metrics.yields.Inc()
 			return lastPriority
 		}
--- a/internal/transport/proxy/quota_test.go
+++ b/internal/transport/proxy/quota_test.go
@@ -22,7 +22,9 @@
 	left               float64
 	unconfirmed, above bool
 	// hangs is set if the quota covers nothing until the request ends.
-	hangs  bool
+	hangs bool
+	// silent means that the planner doesn't reply.
+	silent bool
 	served []bool
 }
 
@@ -33,6 +35,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.silent {
+		return 0, false
+	}
 	if f.left < units {
 		return 1234 * time.Millisecond, false
 	}
@@ -68,15 +73,15 @@
 // against 429 while nobody knows what is left of the quota.
 func TestQuotaRefusal(t *testing.T) {
 	for _, tc := range []struct {
-		unconfirmed bool
-		status      int
-		outcome     string
-	}{{false, 429, "over_quota"}, {true, 503, "quota_unknown"}} {
-		h, c, w := quotaCall(&fakeQuotas{left: 99, unconfirmed: tc.unconfirmed}, "60,40")
+		unconfirmed, silent bool
+		status              int
+		outcome             string
+	}{{false, false, 429, "over_quota"}, {true, false, 503, "quota_unknown"}, {false, true, 503, "quota_unknown"}} {
+		h, c, w := quotaCall(&fakeQuotas{left: 99, unconfirmed: tc.unconfirmed, silent: tc.silent}, "60,40")
 		if h.takeQuota(c) || w.Code != tc.status || c.outcome != tc.outcome || w.Header().Get("Retry-After") == "" {
 			t.Errorf("status %d, outcome %q, header %v", w.Code, c.outcome, w.Header())
 		}
-		if got := w.Header().Get("Retry-After"); !tc.unconfirmed && got != "1.24" {
+		if got := w.Header().Get("Retry-After"); tc.status == 429 && got != "1.24" {
 			t.Errorf("Retry-After %s is before the budget covers the request", got)
 		}
 	}
@@ -122,14 +127,17 @@
 }
 
 // TestYieldingPriority guards against a lower priority where no request waits at the engine or
-// the group uses its share, and against groups above their share that hold up the others.
+// the group uses its share, against groups above their share that hold up the others, and against
+// those that get nothing from an engine with too much other work.
 func TestYieldingPriority(t *testing.T) {
 	for _, tc := range []struct {
 		above   bool
 		waiting int
+		draw    float64
 		want    int
-	}{{true, 1, lastPriority}, {true, 0, 3}, {false, 1, 3}} {
+	}{{true, 1, 1, lastPriority}, {true, 1, 0, 3}, {true, 0, 1, 3}, {false, 1, 1, 3}} {
 		h, c, _ := quotaCall(&fakeQuotas{above: tc.above}, "")
+		h.cfg.Random = func(n int64) int64 { return int64(tc.draw * float64(n-1)) }
 		e := fleet.Endpoint{ID: "e"}
 		h.control = fakeControlPlane{states: func() []fleet.State {
 			return []fleet.State{{Endpoint: e, StatusSupersedes: true, Status: fleet.Status{Waiting: tc.waiting}}}
