resume, proxy: the key of a record includes its service

Cause: a record was known by the request id alone. A resumption at another service that names a foreign id, in a settled service and while the keepers are silent, is recorded under that id. The gateway then took its own record, of the wrong service, for the whole evidence and didn't query the keepers.

The key hashes the service and the id. A gateway looks for a record under each target of the route. Messages are unchanged.

TestForgedResumesOfOtherService failed before (the other caller's resumption was rejected) and passes; go test of state/resume and proxy, and the stream tests of control: pass.

--- a/internal/state/resume/fleet_test.go
+++ b/internal/state/resume/fleet_test.go
@@ -115,7 +115,7 @@
 		return
 	}
 	f.begun++
-	s := &simStream{KeyOf(fmt.Sprint("r", f.begun)), v, f.now}
+	s := &simStream{KeyOf("s", fmt.Sprint("r", f.begun)), v, f.now}
 	f.streams = append(f.streams, s)
 	f.put(g, Record{s.key, "s", v})
 }
--- a/internal/state/resume/record.go
+++ b/internal/state/resume/record.go
@@ -18,13 +18,17 @@
 
 // Record says which service and software version began a stream.
 type Record struct {
-	// Key identifies the stream; it is KeyOf of a request id.
+	// Key identifies the stream; it is KeyOf of its service and a request id.
 	Key              uint64
 	Service, Version string
 }
 
-// KeyOf returns the key of the stream whose first event the request with an id got.
-func KeyOf(requestID string) uint64 { return xxhash.Sum64String(requestID) }
+// KeyOf returns the key of the stream of a service whose first event the request with an id got.
+// The service is part of it, so that a request to one service can't change what is known of
+// a stream of another by naming its id.
+func KeyOf(service, requestID string) uint64 {
+	return xxhash.Sum64String(service + "\x00" + requestID)
+}
 
 // Records holds the newest records. It is safe for concurrent use.
 type Records struct {
--- a/internal/state/resume/resume_test.go
+++ b/internal/state/resume/resume_test.go
@@ -103,7 +103,7 @@
 
 // TestDecide guards against a decision from less than what is known.
 func TestDecide(t *testing.T) {
-	named, rec := ParseMention([]string{"r1"}), Record{KeyOf("r1"), "s", "one"}
+	named, rec := ParseMention([]string{"r1"}), Record{KeyOf("s", "r1"), "s", "one"}
 	for _, tc := range []struct {
 		name string
 		e    Evidence
--- a/internal/transport/control/versions_test.go
+++ b/internal/transport/control/versions_test.go
@@ -108,7 +108,7 @@
 	ctx := context.Background()
 	var recs []resume.Record
 	for i := range 50 {
-		recs = append(recs, resume.Record{Key: resume.KeyOf(fmt.Sprint("r", i)), Service: "s", Version: fmt.Sprint("v", i%2)})
+		recs = append(recs, resume.Record{Key: resume.KeyOf("s", fmt.Sprint("r", i)), Service: "s", Version: fmt.Sprint("v", i%2)})
 	}
 	c.plane.SendStreamRecords("s", recs)
 	time.Sleep(50 * time.Millisecond)
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -98,10 +98,11 @@
 	if !isNamed {
 		return
 	}
-	key := resume.KeyOf(named.ID)
-	if rec, ok := h.versions.records.Get(key, time.Now()); ok {
-		c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
-		return
+	for _, t := range c.route.Targets {
+		if rec, ok := h.versions.records.Get(resume.KeyOf(t.Service, named.ID), time.Now()); ok {
+			c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
+			return
+		}
 	}
 	type found struct {
 		record resume.Record
@@ -110,7 +111,7 @@
 	replies := make(chan found, len(c.route.Targets))
 	for _, t := range c.route.Targets {
 		go func() {
-			rec, source := h.control.QueryStreamRecord(c.in.Context(), t.Service, key)
+			rec, source := h.control.QueryStreamRecord(c.in.Context(), t.Service, resume.KeyOf(t.Service, named.ID))
 			replies <- found{rec, source}
 		}()
 	}
@@ -219,7 +220,7 @@
 		}
 	}
 	if id != "" && c.bound && c.route.Resumable {
-		h.putRecord(c, resume.Record{Key: resume.KeyOf(id), Service: c.req.Service, Version: c.version})
+		h.putRecord(c, resume.Record{Key: resume.KeyOf(c.req.Service, id), Service: c.req.Service, Version: c.version})
 	}
 }
 
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -20,6 +20,7 @@
 	"chervilhead/internal/state/budget"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/notice"
+	"chervilhead/internal/state/resume"
 )
 
 // versionFleet is a service with endpoints of two versions, whose events hold their version, and
@@ -345,3 +346,20 @@
 		})
 	}
 }
+
+// TestForgedResumesOfOtherService guards against a forged Resumes, sent to another service while the keepers are silent, that hides the record of the stream that it names.
+func TestForgedResumesOfOtherService(t *testing.T) {
+	f := newVersionFleet(t, "one", "two", "one")
+	x, y := f.gateway("z0", 1), f.gateway("z1", 1)
+	elsewhere := f.endpoints[1]
+	elsewhere.ID, elsewhere.Service = "o1", "o"
+	f.list(y, append(slices.Clone(f.endpoints), elsewhere)...)
+	y.handler.RestoreVersions(resume.Row{"o": {"two": {Present: true}}})
+	first := f.begin(x, "victim")
+	f.keepers.silent.Store(true)
+	if got := versionsIn(f.call(y, "r1", "victim", "path", "/other/x")); len(got) != 4 {
+		t.Errorf("a resumption in a service of one version got events of %v", got)
+	}
+	f.keepers.silent.Store(false)
+	expectOneVersion(t, first, f.call(y, "r2", "victim"))
+}
