proxy: a restarted endpoint's stream isn't bound to the only version of its service

Cause: in a settled service the gateway took the registered version of an endpoint for that of its events without looking at its keeper's report or at broken connections. An endpoint that came back with another version under its id and address, which is the service's second one, wrote events that were recorded and continued within the response at the old version.

The check that unsettled services had holds in settled ones too.

TestRestartUnseenOnceSettled failed before (events of two, two, one, one, one, one) and passes; go test ./internal/transport/proxy: pass.

--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -189,11 +189,8 @@
 
 // versionSure reports whether the endpoint that got a request is of the version that it is
 // registered with: it may have been restarted since, and its registration is read up to a second
-// later. In a settled service a restart changes nothing that is known.
+// later. That holds in a settled service too, where a restart may bring its second version.
 func (h *Handler) versionSure(c *call, e fleet.Endpoint) bool {
-	if _, settled := h.settled(e.Service); settled {
-		return true
-	}
 	states := h.control.States()
 	i := slices.IndexFunc(states, func(s fleet.State) bool { return s.ID == e.ID })
 	if i < 0 {
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -363,3 +363,22 @@
 	f.keepers.silent.Store(false)
 	expectOneVersion(t, first, f.call(y, "r2", "victim"))
 }
+
+// TestRestartUnseenOnceSettled guards against a stream of a restarted endpoint that continues within its response at the only version which the service was registered with.
+func TestRestartUnseenOnceSettled(t *testing.T) {
+	f := newVersionFleet(t, "two", "one", "one")
+	g := f.gateway("z0", 3)
+	stale := f.endpoints[0]
+	stale.SoftwareVersion = "one"
+	// The gateway has read no other version than one.
+	g.handler.versions.history = resume.NewHistory(time.Now())
+	g.settle("one")
+	f.list(g, stale, f.endpoints[1], f.endpoints[2])
+	states := slices.Clone(*g.states.Load())
+	states[0].StatusSupersedes, states[0].Status = true, fleet.Status{ReceivedAt: time.Now(), Incarnation: 2, Alive: true, Models: stale.Models}
+	g.states.Store(&states)
+	f.breaks.Store(1)
+	if got := versionsIn(f.call(g, "r1", "")); !slices.Equal(got, []string{"two", "two"}) {
+		t.Errorf("the events are of versions %v, want the first two of version two", got)
+	}
+}
