--- a/internal/state/clock/clock.go
+++ b/internal/state/clock/clock.go
@@ -67,3 +67,12 @@
 	}
 	return min(local, now), true
 }
+
+// Latest returns the latest time that the other clock may show at a local time, or a zero reading
+// if that isn't known.
+func (b Bound) Latest(now time.Duration) Reading {
+	if !b.known {
+		return Reading{}
+	}
+	return Reading{b.era, now + b.offsetAt(now) + rounding}
+}
--- a/internal/state/clock/clock_test.go
+++ b/internal/state/clock/clock_test.go
@@ -82,3 +82,27 @@
 		t.Errorf("a restored store's clock has the bound %+v", b2)
 	}
 }
+
+// TestLatestIsNeverEarly guards against a latest time of the other clock that it has already passed.
+func TestLatestIsNeverEarly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		span := func(label string, most time.Duration) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(most)).Draw(t, label))
+		}
+		c := clocks{offset: time.Hour + span("offset", time.Hour), drift: rapid.Float64Range(-maxDrift/2, maxDrift/2).Draw(t, "drift")}
+		var b Bound
+		if !b.Latest(time.Second).IsZero() {
+			t.Fatal("a latest time without a sample")
+		}
+		now := span("start", time.Minute)
+		for range rapid.IntRange(1, 30).Draw(t, "calls") {
+			began := now + span("pause", time.Minute)
+			stamped := began + span("wait", 3*time.Second)
+			now = stamped + span("in buffer", 20*time.Second)
+			b = b.With(Sample{Reading{1, c.other(stamped)}, began})
+			if got := b.Latest(now); got.Era != 1 || got.Time < c.other(now) {
+				t.Fatalf("the latest time at %v is %+v, and the clock shows %v", now, got, c.other(now))
+			}
+		}
+	})
+}
