control: the row of versions keeps what a restore or a dead planner lost

Cause: a planner that took its lease replaced what it knew by the row. If the store had been restored from a copy, or the planner before had died before it wrote, a version that had just gone was in no row, and a gateway that started within 30 s took the other one for the only one.

Each gateway follows the versions, and a new planner merges the row with what it saw in the last 30 s. The times in the row come from StoreTime with the store's era; a time of another era counts as now, because a restored store's clock has another origin.

TestRestoredVersionsRow failed before (the row named version two no more) and passes, as do TestVersionsOfTakeover and go test -race of control (28.6 s).

--- a/internal/transport/control/versions.go
+++ b/internal/transport/control/versions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/resume"
 )
 
@@ -24,26 +25,47 @@
 // savedVersion is one version of a service in the row.
 type savedVersion struct {
 	Present bool `json:"present,omitempty"`
-	// GoneAtMS is when the version's last registration was gone, by the store's clock, or 0 if that
-	// wasn't available.
-	GoneAtMS int64 `json:"gone_at_ms,omitempty"`
+	// GoneAtMS is when the version's last registration was gone, or later, by the store's clock in
+	// the era GoneEra, or 0 if that wasn't available.
+	GoneAtMS int64  `json:"gone_at_ms,omitempty"`
+	GoneEra  uint64 `json:"gone_era,omitempty"`
+}
+
+// newGoneVersion returns the entry of a version that is gone as of a time of the store's clock.
+func newGoneVersion(at clock.Reading) savedVersion {
+	if at.IsZero() {
+		return savedVersion{}
+	}
+	return savedVersion{GoneAtMS: at.Time.Milliseconds() + 1, GoneEra: at.Era}
 }
 
 type savedVersions map[string]map[string]savedVersion
 
 // storeClock is a table service that can tell the store's steady clock.
 type storeClock interface {
-	// StoreTime returns the store's time at a local time, or false if that isn't known.
-	StoreTime(at time.Time) (ms int64, ok bool)
+	// StoreTime returns the earliest and the latest time that the store's clock may show now, which
+	// hold no time if that isn't known.
+	StoreTime() (earliest, latest clock.Reading)
 }
 
-func storeTime(table store.TableService, at time.Time) int64 {
-	if c, ok := table.(storeClock); ok {
-		if ms, ok := c.StoreTime(at); ok {
-			return ms
-		}
+// storeTime returns the latest time that the store's clock may show.
+func storeTime(table store.TableService) clock.Reading {
+	c, ok := table.(storeClock)
+	if !ok {
+		return clock.Reading{}
+	}
+	_, latest := c.StoreTime()
+	return latest
+}
+
+// earliestStoreTime returns the earliest time that the store's clock may show.
+func earliestStoreTime(table store.TableService) clock.Reading {
+	c, ok := table.(storeClock)
+	if !ok {
+		return clock.Reading{}
 	}
-	return 0
+	earliest, _ := c.StoreTime()
+	return earliest
 }
 
 // readVersions reads the row; found is false if it is missing or unreadable.
@@ -67,22 +89,23 @@
 			continue
 		}
 		if found && p.hooks.RestoreVersions != nil {
-			p.hooks.RestoreVersions(saved.row(storeTime(p.planner.table, time.Now()), time.Since(p.startedAt)))
+			p.hooks.RestoreVersions(saved.row(earliestStoreTime(p.planner.table), time.Since(p.startedAt)))
 		}
 		p.log.WithField("found", found).WithField("services", len(saved)).Info("the row of versions was read")
 		return
 	}
 }
 
-// row returns what the row says as of a gateway's start, which was sinceStart before nowMS.
-func (s savedVersions) row(nowMS int64, sinceStart time.Duration) resume.Row {
+// row returns what the row says as of a gateway's start, which was sinceStart before the store's
+// clock showed now. A time of another era can't be compared, so its version counts as gone now.
+func (s savedVersions) row(now clock.Reading, sinceStart time.Duration) resume.Row {
 	out := resume.Row{}
 	for service, versions := range s {
 		out[service] = map[string]resume.RowEntry{}
 		for v, e := range versions {
 			r := resume.RowEntry{Present: e.Present}
-			if !e.Present && e.GoneAtMS > 0 && nowMS > 0 {
-				r.GoneFor = max(0, time.Duration(nowMS-e.GoneAtMS)*time.Millisecond-sinceStart)
+			if !e.Present && e.GoneAtMS > 0 && !now.IsZero() && e.GoneEra == now.Era {
+				r.GoneFor = max(0, now.Time-time.Duration(e.GoneAtMS)*time.Millisecond-sinceStart)
 			}
 			out[service][v] = r
 		}
@@ -97,34 +120,43 @@
 	goneAt time.Time
 }
 
-// versionsWriter keeps the row. Only holdLease uses it, as the lease.
+// versionsWriter knows the versions of the last minute, also while this gateway isn't the planner,
+// and keeps the row. Only holdLease uses it, as the lease.
 type versionsWriter struct {
 	// token is that of the lease under which the row was read last.
 	token uint64
 	// failedAt is when a call for the row last failed.
 	failedAt time.Time
 	versions map[string]map[string]knownVersion
+	// unsaved is set while the row may not say what versions does.
+	unsaved bool
 }
 
-// keepVersions writes the row if the registered versions have changed and this gateway is the
-// planner. A version that comes and goes between two calls, together with all gateways, is missed.
+// keepVersions takes the newest view of the endpoints and, if this gateway is the planner, writes
+// the row if the versions have changed. A version that comes and goes between two calls, together
+// with all gateways, is missed.
 func (p *planner) keepVersions(ctx context.Context, now time.Time) {
 	w := &p.versionsWriter
+	v := p.plane.view()
+	if v.EndpointsConfirmedAt.IsZero() {
+		return
+	}
+	registered := resume.VersionsOf(v.Endpoints)
+	w.observe(registered, storeTime(p.table), now)
 	if now.Sub(w.failedAt) < versionsRetryInterval {
 		return
 	}
-	if err := p.saveVersions(ctx, now); err != nil {
+	if err := p.saveVersions(ctx, registered, now); err != nil {
 		w.failedAt = now
 		p.plane.log.WithError(err).Debug("the row of versions was not kept")
 	}
 }
 
-func (p *planner) saveVersions(ctx context.Context, now time.Time) error {
+func (p *planner) saveVersions(ctx context.Context, registered map[string]map[string]bool, now time.Time) error {
 	p.mu.Lock()
 	held, token := p.holdsLease(now), p.fencingToken
 	p.mu.Unlock()
-	v := p.plane.view()
-	if !held || v.EndpointsConfirmedAt.IsZero() {
+	if !held {
 		return nil
 	}
 	w := &p.versionsWriter
@@ -133,20 +165,15 @@
 		if err != nil {
 			return err
 		}
-		w.token, w.versions = token, map[string]map[string]knownVersion{}
-		for service, versions := range saved {
-			w.versions[service] = map[string]knownVersion{}
-			for v, s := range versions {
-				w.versions[service][v] = knownVersion{s, now}
-			}
-		}
+		w.merge(saved, now)
+		w.observe(registered, storeTime(p.table), now)
+		w.token = token
 	}
-	next, changed := w.next(resume.VersionsOf(v.Endpoints), storeTime(p.table, now), now)
-	if !changed {
+	if !w.unsaved {
 		return nil
 	}
 	out := savedVersions{}
-	for service, versions := range next {
+	for service, versions := range w.versions {
 		out[service] = map[string]savedVersion{}
 		for v, k := range versions {
 			out[service][v] = k.saved
@@ -159,13 +186,45 @@
 	if _, err := p.table.Commit(ctx, store.Txn{Conds: []store.Cond{p.lease.Cond()}, Writes: []store.Write{{Key: versionsKey, Value: value}}}); err != nil {
 		return err
 	}
-	w.versions = next
+	w.unsaved = false
 	p.plane.log.WithField("versions", string(value)).Info("the row of versions was written")
 	return nil
 }
 
+// merge takes what the row says when the lease was taken. What this gateway saw itself goes first:
+// the row may be of a copy from which the store was restored, or the planner before may have died
+// before it wrote.
+func (w *versionsWriter) merge(saved savedVersions, now time.Time) {
+	known := w.versions
+	w.versions, w.unsaved = map[string]map[string]knownVersion{}, false
+	for service, versions := range saved {
+		w.versions[service] = map[string]knownVersion{}
+		for v, s := range versions {
+			w.versions[service][v] = knownVersion{s, now}
+		}
+	}
+	for service, versions := range known {
+		for v, k := range versions {
+			before, ok := w.versions[service][v]
+			if ok && before.saved.Present == k.saved.Present || !ok && !k.saved.Present && now.Sub(k.goneAt) >= resume.SettleAfter {
+				continue
+			}
+			if w.versions[service] == nil {
+				w.versions[service] = map[string]knownVersion{}
+			}
+			w.versions[service][v], w.unsaved = k, true
+		}
+	}
+}
+
+// observe takes a reading of the endpoints.
+func (w *versionsWriter) observe(registered map[string]map[string]bool, gone clock.Reading, now time.Time) {
+	next, changed := w.next(registered, gone, now)
+	w.versions, w.unsaved = next, w.unsaved || changed
+}
+
 // next returns the versions after a reading of the endpoints, and whether the row has to be written.
-func (w *versionsWriter) next(registered map[string]map[string]bool, nowMS int64, now time.Time) (map[string]map[string]knownVersion, bool) {
+func (w *versionsWriter) next(registered map[string]map[string]bool, gone clock.Reading, now time.Time) (map[string]map[string]knownVersion, bool) {
 	next, changed := map[string]map[string]knownVersion{}, false
 	for service, versions := range w.versions {
 		next[service] = maps.Clone(versions)
@@ -173,7 +232,7 @@
 			switch {
 			case registered[service][v]:
 			case k.saved.Present:
-				next[service][v], changed = knownVersion{savedVersion{GoneAtMS: nowMS}, now}, true
+				next[service][v], changed = knownVersion{newGoneVersion(gone), now}, true
 			case now.Sub(k.goneAt) >= goneVersionTTL:
 				delete(next[service], v)
 			}
--- a/internal/transport/control/versions_test.go
+++ b/internal/transport/control/versions_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/clock"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/resume"
 )
@@ -74,7 +75,7 @@
 		t.Fatalf("the row was not read: found %v, error %v", found, err)
 	}
 	h := resume.NewHistory(time.Now())
-	h.Restore(saved.row(0, 0))
+	h.Restore(saved.row(clock.Reading{}, 0))
 	h.Observe(c.view.Load().Endpoints, time.Now())
 	if v, settled := h.Settled("s", resume.Confirmation{At: time.Now()}, time.Now()); settled {
 		t.Errorf("a gateway that starts when version one has left takes %q for the only version", v)
@@ -83,20 +84,26 @@
 
 // TestVersionsRowTimes guards against a version that counts for longer than the store's clock says, or for less if it has none.
 func TestVersionsRowTimes(t *testing.T) {
-	s := savedVersions{"s": {"old": {GoneAtMS: 10_000}, "untimed": {}, "new": {Present: true}}}
+	s := savedVersions{"s": {"old": {GoneAtMS: 10_000, GoneEra: 1}, "untimed": {}, "new": {Present: true}}}
 	for _, tc := range []struct {
-		nowMS int64
-		want  time.Duration
-	}{{50_000, 38 * time.Second}, {0, 0}, {5_000, 0}} {
-		got := s.row(tc.nowMS, 2*time.Second)["s"]
+		now  clock.Reading
+		want time.Duration
+	}{
+		{clock.Reading{Era: 1, Time: 50 * time.Second}, 38 * time.Second},
+		{clock.Reading{}, 0},
+		{clock.Reading{Era: 1, Time: 5 * time.Second}, 0},
+		// A restored store's clock has another origin.
+		{clock.Reading{Era: 2, Time: 50 * time.Second}, 0},
+	} {
+		got := s.row(tc.now, 2*time.Second)["s"]
 		want := map[string]resume.RowEntry{"old": {GoneFor: tc.want}, "untimed": {}, "new": {Present: true}}
 		if !reflect.DeepEqual(got, want) {
-			t.Errorf("at %d ms: %v, want %v", tc.nowMS, got, want)
+			t.Errorf("at %+v: %v, want %v", tc.now, got, want)
 		}
 	}
 	w := versionsWriter{versions: map[string]map[string]knownVersion{"s": {"old": {goneAt: time.Unix(1000, 0)}, "new": {saved: savedVersion{Present: true}}}}}
 	later := time.Unix(1000, 0).Add(goneVersionTTL)
-	if next, changed := w.next(map[string]map[string]bool{"s": {"new": true}}, 0, later); changed || len(next["s"]) != 1 {
+	if next, changed := w.next(map[string]map[string]bool{"s": {"new": true}}, clock.Reading{}, later); changed || len(next["s"]) != 1 {
 		t.Errorf("after a minute: changed %v, versions %v; want no write, and the old version left out of the next", changed, next)
 	}
 }
@@ -161,3 +168,59 @@
 		t.Errorf("%d keys in the messages, want %d", n, len(keys))
 	}
 }
+
+// TestRestoredVersionsRow guards against versions that the row loses because the store was restored from a copy which lacks them, or because the planner before died without writing them.
+func TestRestoredVersionsRow(t *testing.T) {
+	c := startCluster(t, clusterConfig("a"), []string{"a"}, []string{"a"})
+	c.withVersions("one", "one")
+	until(t, "the row names version one", func() bool { return len(c.savedVersions(t)) == 1 })
+	old, err := c.store.Get(context.Background(), versionsKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.withVersions("one", "two")
+	until(t, "the row names version two", func() bool { return len(c.savedVersions(t)) == 2 })
+	c.withVersions("one", "")
+	until(t, "version two is gone", func() bool { return !c.savedVersions(t)["two"].Present })
+	c.store.mu.Lock()
+	c.store.rows[versionsKey] = old
+	c.store.mu.Unlock()
+	until(t, "the row names version two again", func() bool {
+		// The planner takes its lease anew, as it must after a restore; a refresh of the lease that is
+		// in force resets the token.
+		c.plane.planner.mu.Lock()
+		c.plane.planner.fencingToken++
+		c.plane.planner.mu.Unlock()
+		_, ok := c.savedVersions(t)["two"]
+		return ok
+	})
+}
+
+// TestVersionsOfTakeover guards against a new planner that keeps from the row what it saw itself, or that writes the row for what has long been gone.
+func TestVersionsOfTakeover(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name    string
+		goneFor time.Duration
+		saved   map[string]savedVersion
+		want    map[string]savedVersion
+		unsaved bool
+	}{
+		{"the row says it", time.Second, map[string]savedVersion{"one": {Present: true}, "two": {}}, map[string]savedVersion{"one": {Present: true}, "two": {}}, false},
+		{"the row lacks a version that is gone", time.Second, map[string]savedVersion{"one": {Present: true}}, map[string]savedVersion{"one": {Present: true}, "two": {}}, true},
+		{"it has long been gone", resume.SettleAfter, map[string]savedVersion{"one": {Present: true}}, map[string]savedVersion{"one": {Present: true}}, false},
+		{"the row says that it is present", time.Second, map[string]savedVersion{"one": {Present: true}, "two": {Present: true}}, map[string]savedVersion{"one": {Present: true}, "two": {}}, true},
+		{"the row lacks a version that is present", time.Second, map[string]savedVersion{"two": {}}, map[string]savedVersion{"one": {Present: true}, "two": {}}, true},
+		{"the row names a third one", time.Second, map[string]savedVersion{"one": {Present: true}, "two": {}, "three": {}}, map[string]savedVersion{"one": {Present: true}, "two": {}, "three": {}}, false},
+	} {
+		w := versionsWriter{versions: map[string]map[string]knownVersion{"s": {"one": {saved: savedVersion{Present: true}}, "two": {goneAt: now.Add(-tc.goneFor)}}}}
+		w.merge(savedVersions{"s": tc.saved}, now)
+		got := map[string]savedVersion{}
+		for v, k := range w.versions["s"] {
+			got[v] = k.saved
+		}
+		if !reflect.DeepEqual(got, tc.want) || w.unsaved != tc.unsaved {
+			t.Errorf("%s: %v, to be written %v; want %v, %v", tc.name, got, w.unsaved, tc.want, tc.unsaved)
+		}
+	}
+}
