resume: the history forgets services that are gone

Cause: the versions of a service were dropped 30 s after the last was gone, but the service's entry stayed, so that the map grew with each name that was ever registered.

TestHistoryForgetsServices failed before (100 services kept) and passes; go test ./internal/state/resume: pass.

--- a/internal/state/resume/history.go
+++ b/internal/state/resume/history.go
@@ -69,6 +69,9 @@
 				delete(versions, v)
 			}
 		}
+		if len(versions) == 0 {
+			delete(h.services, service)
+		}
 	}
 	for service, versions := range registered {
 		for v := range versions {
--- a/internal/state/resume/resume_test.go
+++ b/internal/state/resume/resume_test.go
@@ -165,3 +165,17 @@
 		}
 	}
 }
+
+// TestHistoryForgetsServices guards against a history that grows with each service that was ever registered.
+func TestHistoryForgetsServices(t *testing.T) {
+	h := NewHistory(start)
+	for i := range 100 {
+		service := string(rune('a' + i))
+		h.Observe(map[string]fleet.Endpoint{"e": {ID: "e", Service: service, SoftwareVersion: "one"}}, at(float64(i)))
+	}
+	h.Observe(nil, at(100))
+	h.Observe(nil, at(130))
+	if n := len(h.services); n != 0 {
+		t.Errorf("%d services are kept 30 s after the last was gone, want none", n)
+	}
+}
