--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -98,10 +98,11 @@
 	if !isNamed {
 		return
 	}
-	key := resume.KeyOf(named.ID)
-	if rec, ok := h.versions.records.Get(key, time.Now()); ok {
-		c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
-		return
+	for _, t := range c.route.Targets {
+		if rec, ok := h.versions.records.Get(resume.KeyOf(t.Service, named.ID), time.Now()); ok {
+			c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
+			return
+		}
 	}
 	type found struct {
 		record resume.Record
@@ -110,7 +111,7 @@
 	replies := make(chan found, len(c.route.Targets))
 	for _, t := range c.route.Targets {
 		go func() {
-			rec, source := h.control.QueryStreamRecord(c.in.Context(), t.Service, key)
+			rec, source := h.control.QueryStreamRecord(c.in.Context(), t.Service, resume.KeyOf(t.Service, named.ID))
 			replies <- found{rec, source}
 		}()
 	}
@@ -188,11 +189,8 @@
 
 // versionSure reports whether the endpoint that got a request is of the version that it is
 // registered with: it may have been restarted since, and its registration is read up to a second
-// later. In a settled service a restart changes nothing that is known.
+// later. That holds in a settled service too, where a restart may bring its second version.
 func (h *Handler) versionSure(c *call, e fleet.Endpoint) bool {
-	if _, settled := h.settled(e.Service); settled {
-		return true
-	}
 	states := h.control.States()
 	i := slices.IndexFunc(states, func(s fleet.State) bool { return s.ID == e.ID })
 	if i < 0 {
@@ -219,7 +217,7 @@
 		}
 	}
 	if id != "" && c.bound && c.route.Resumable {
-		h.putRecord(c, resume.Record{Key: resume.KeyOf(id), Service: c.req.Service, Version: c.version})
+		h.putRecord(c, resume.Record{Key: resume.KeyOf(c.req.Service, id), Service: c.req.Service, Version: c.version})
 	}
 }
 
