control, dgram: a planner learns of a newer configuration that it lacks

Cause: only the planner announces its configuration. A planner that started on a store restored from an older copy, or was cut off before the restore, never heard of a newer configuration that other gateways hold, took the copy's for proven after the quarantine, and ran requests with keys that the lost one had removed.

--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -234,6 +234,8 @@
 		m = &StreamRecords{}
 	case (*StreamQuery)(nil).kind():
 		m = &StreamQuery{}
+	case (*NewerConfig)(nil).kind():
+		m = &NewerConfig{}
 	default:
 		return nil, errInvalidMessage
 	}
--- a/internal/protocol/dgram/message_test.go
+++ b/internal/protocol/dgram/message_test.go
@@ -15,6 +15,7 @@
 	&CreditGrant{Term: 1, GatewayIncarnation: 2, Sequence: 3, Groups: []GroupGrant{{Granted: 4, WaitMs: 5, AboveShare: true}}},
 	&StreamRecords{Query: 1 << 63, Streams: []VersionStreams{{Service: "s", Version: "v", Keys: []uint64{1, 1 << 63}}}},
 	&StreamQuery{Query: 5, Key: 1 << 63},
+	&NewerConfig{Version: 1 << 63},
 }
 
 func TestRoundTrip(t *testing.T) {
--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -99,3 +99,23 @@
 	default:
 	}
 }
+
+// reportNewerConfig answers the announcement of an older configuration than this gateway's. The
+// store may have been restored from a copy that lacks the newer one; the planner then has no other
+// way to learn of it, and must not prove the older one to itself and to other gateways.
+func (p *Plane) reportNewerConfig(m *dgram.PlannerStatus, from string) {
+	v := p.view()
+	if !v.HasConfig || v.Config.Version <= m.ConfigVersion {
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp4", from)
+	if err == nil {
+		var data []byte
+		if data, err = dgram.Encode(&dgram.NewerConfig{Version: v.Config.Version}); err == nil {
+			_, err = p.conn.WriteTo(data, addr)
+		}
+	}
+	if err != nil {
+		p.log.WithError(err).WithField("planner", from).Debug("the newer configuration was not reported")
+	}
+}
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -235,3 +235,27 @@
 		t.Error("the planner ignores the announcement of the gateway that took over")
 	}
 }
+
+// TestPlannerLearnsNewerConfig guards against a planner that started on a restored store and takes the copy's configuration, with keys that a lost one had removed, for the newest one although another gateway holds a newer one.
+func TestPlannerLearnsNewerConfig(t *testing.T) {
+	rows := &rows{rows: map[string]store.Row{}}
+	viewOf := func(config uint64) *watch.View {
+		return &watch.View{HasConfig: true, Config: fleet.NewConfig(config, nil, nil, fleet.Limits{}), ConfigConfirmedAt: time.Now(), EndpointsConfirmedAt: time.Now(), StoreVersion: 40, EndpointsDigest: 99}
+	}
+	older, newer := viewOf(7), viewOf(8)
+	a := startTestGateway(t, "a", rows, older)
+	until(t, "the first gateway is the planner", a.plans)
+	b := startTestGateway(t, "b", rows, newer)
+	until(t, "the planner learns of the newer configuration", func() bool {
+		a.UpdateView(older)
+		for len(b.observations) > 0 {
+			<-b.observations
+		}
+		select {
+		case got := <-a.observations:
+			return got.ConfigVersion == 8
+		default:
+			return false
+		}
+	})
+}
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -115,7 +115,10 @@
 				ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
 				ConfigProof: clock.Reading{Era: m.ConfigProofEra, Time: m.ConfigProofTime},
 			})
+			p.reportNewerConfig(m, from)
 		}
+	case *dgram.NewerConfig:
+		p.observe(watch.Observation{ConfigVersion: m.Version})
 	}
 }
 
