--- a/internal/transport/proxy/quota.go
+++ b/internal/transport/proxy/quota.go
@@ -34,10 +34,12 @@
 // quotaObjectiveShare is the part of its objective for which a request waits until its group's
 // quota covers it. A refused caller comes back later than that, and the rest is left for its answer
 // to be on time.
-const quotaObjectiveShare = 0.5
-// noReplyRetryAfter is the Retry-After while the planner doesn't reply: a lost datagram has been
-// sent again by then, and the gateway uses its share 1.5 s after the last reply.
-const noReplyRetryAfter = 300 * time.Millisecond
+const (
+	quotaObjectiveShare = 0.5
+	// noReplyRetryAfter is the Retry-After while the planner doesn't reply: a lost datagram has been
+	// sent again by then, and the gateway uses its share 1.5 s after the last reply.
+	noReplyRetryAfter = 300 * time.Millisecond
+)
 
 // takeQuota takes the cost of a request from its group's quota. If the quota doesn't cover it,
 // takeQuota responds and returns false.
