--- a/internal/state/credit/account.go
+++ b/internal/state/credit/account.go
@@ -43,7 +43,7 @@
 	incarnation int64
 	// phase is the part of a typical request with whose debt fallback buckets begin.
 	phase  float64
-	groups map[string]*purse
+	groups map[string]*groupCredit
 
 	sequence uint64
 	// open is the request that has no reply yet, sentAt and resentAt its first and last sends.
@@ -60,8 +60,8 @@
 	term uint64
 }
 
-// purse is the credit of one group.
-type purse struct {
+// groupCredit is the credit of one group.
+type groupCredit struct {
 	quota    fleet.Quota
 	credit   float64
 	returned float64
@@ -105,7 +105,7 @@
 func NewAccount(gateway string, incarnation int64, now time.Time) *Account {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(gateway))
-	return &Account{gateway: gateway, incarnation: incarnation, phase: float64(h.Sum32()) / math.MaxUint32, groups: map[string]*purse{}, repliedAt: now}
+	return &Account{gateway: gateway, incarnation: incarnation, phase: float64(h.Sum32()) / math.MaxUint32, groups: map[string]*groupCredit{}, repliedAt: now}
 }
 
 // Begin records that a group has a quota from now on: the planner has not been asked before.
@@ -149,7 +149,7 @@
 func (a *Account) Arrive(now time.Time, g fleet.Group, units float64) {
 	p, ok := a.groups[g.Name]
 	if !ok {
-		p = &purse{typical: units}
+		p = &groupCredit{typical: units}
 		a.groups[g.Name] = p
 	}
 	const weight = 0.1
@@ -162,7 +162,7 @@
 func (a *Account) Take(now time.Time, g fleet.Group, units float64, gateways int) Decision {
 	p, ok := a.groups[g.Name]
 	if !ok {
-		p = &purse{typical: units}
+		p = &groupCredit{typical: units}
 		a.groups[g.Name] = p
 	}
 	if lowered(p.quota, g.Quota) {
@@ -196,7 +196,7 @@
 	return now.Sub(a.resentAt) > maxReplyAge || now.Sub(a.resumedAt) < 2*resendAfter
 }
 
-func (p *purse) spend(now time.Time, units float64) {
+func (p *groupCredit) spend(now time.Time, units float64) {
 	p.touchedAt = now
 	p.used = p.used.add(now, units)
 }
@@ -204,7 +204,7 @@
 // takeFallback spends units of the group's fallback bucket, which begins when the planner's
 // reply is missed. It begins with a debt that differs by gateway: a request larger than the
 // bucket leaves a debt, and all gateways together could otherwise serve one at the same time.
-func (a *Account) takeFallback(now time.Time, p *purse, units float64, gateways int) Decision {
+func (a *Account) takeFallback(now time.Time, p *groupCredit, units float64, gateways int) Decision {
 	share := fallbackPart * p.quota.PerSecond / float64(max(gateways, 1))
 	if !p.inFallback {
 		began := a.repliedAt.Add(replyLostAfter)
@@ -227,7 +227,7 @@
 
 // expire drops credit that the planner no longer counts. It returns credit that isn't used, and
 // that of a higher quota once the planner has the lower one and takes back no more than that allows.
-func (a *Account) expire(now time.Time, p *purse) {
+func (a *Account) expire(now time.Time, p *groupCredit) {
 	ends := !p.endsAt.IsZero() && !now.Before(p.endsAt)
 	if ends {
 		p.endsAt = time.Time{}
@@ -277,7 +277,7 @@
 }
 
 // ahead returns the credit that a group's demand needs.
-func (p *purse) ahead(now time.Time) float64 {
+func (p *groupCredit) ahead(now time.Time) float64 {
 	if now.Sub(p.demand.at) > unusedAfter {
 		return 0
 	}
@@ -285,7 +285,7 @@
 }
 
 // returnSurplus returns credit that the demand doesn't need any more, although some of it is used.
-func (p *purse) returnSurplus(now time.Time) {
+func (p *groupCredit) returnSurplus(now time.Time) {
 	need := surplusFrom * p.ahead(now)
 	for _, n := range p.waiting {
 		need += n
@@ -298,7 +298,7 @@
 
 // missing returns the units that the waiting requests need beyond the credit, and those that the
 // smallest of them needs.
-func (p *purse) missing() (need, least float64) {
+func (p *groupCredit) missing() (need, least float64) {
 	if len(p.waiting) == 0 {
 		return 0, 0
 	}
@@ -310,7 +310,7 @@
 }
 
 // refused reports whether the planner has said that it has no credit for what waits.
-func (p *purse) refused(now time.Time) bool {
+func (p *groupCredit) refused(now time.Time) bool {
 	return now.Before(p.askAgainAt) && (len(p.waiting) == 0 || slices.Min(p.waiting) >= p.refusedUnits)
 }
 
--- a/internal/state/resume/history.go
+++ b/internal/state/resume/history.go
@@ -35,20 +35,20 @@
 	mu sync.Mutex
 	// observedAt is when the endpoints were first read.
 	observedAt time.Time
-	services   map[string]map[string]life
+	services   map[string]map[string]presence
 	// inRow lists the services whose versions before the start the row told.
 	inRow map[string]bool
 }
 
-// life is when a version was registered.
-type life struct {
+// presence says whether a version is registered, or when its last registration was gone.
+type presence struct {
 	present bool
 	goneAt  time.Time
 }
 
 // NewHistory returns the history of a gateway that starts now, which knows of no versions.
 func NewHistory(now time.Time) *History {
-	return &History{startedAt: now, services: map[string]map[string]life{}, inRow: map[string]bool{}}
+	return &History{startedAt: now, services: map[string]map[string]presence{}, inRow: map[string]bool{}}
 }
 
 // Observe records a reading of the endpoints.
@@ -64,7 +64,7 @@
 			switch {
 			case registered[service][v]:
 			case l.present:
-				versions[v] = life{goneAt: now}
+				versions[v] = presence{goneAt: now}
 			case now.Sub(l.goneAt) >= SettleAfter:
 				delete(versions, v)
 			}
@@ -75,7 +75,7 @@
 	}
 	for service, versions := range registered {
 		for v := range versions {
-			h.versions(service)[v] = life{present: true}
+			h.versions(service)[v] = presence{present: true}
 		}
 	}
 }
@@ -89,15 +89,15 @@
 		h.inRow[service] = true
 		for v, e := range versions {
 			if _, known := h.versions(service)[v]; !known {
-				h.versions(service)[v] = life{goneAt: h.startedAt.Add(-e.GoneFor)}
+				h.versions(service)[v] = presence{goneAt: h.startedAt.Add(-e.GoneFor)}
 			}
 		}
 	}
 }
 
-func (h *History) versions(service string) map[string]life {
+func (h *History) versions(service string) map[string]presence {
 	if h.services[service] == nil {
-		h.services[service] = map[string]life{}
+		h.services[service] = map[string]presence{}
 	}
 	return h.services[service]
 }
