--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -166,7 +166,7 @@
 	c.add(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "a value is below zero", "write the ratio and slack of the platform's retry budget")
 	c.positive("retries.window", s.Retries.Window)
 	c.positive("loads.window", s.ModelLoadLimit.Window)
-	c.add(s.Revocation.Bound < minRevocationBound, "revocation.bound",
+	c.add(s.Revocation.Strict && s.Revocation.Bound < minRevocationBound, "revocation.bound",
 		fmt.Sprintf("value %s is below %s, in which proofs can't arrive", s.Revocation.Bound, minRevocationBound), "write a longer duration")
 	c.positive("leave.grace", s.Shutdown.GracePeriod)
 	c.add(s.Shutdown.DrainDelay < 0 || s.Shutdown.DrainDelay >= s.Shutdown.GracePeriod, "leave.unready",
