watch, control: log and count newer configurations that a gateway knows of and lacks

Callers got answers by an older configuration (CONFIG). The logs say when a configuration came into force, but not that a gateway knew of a newer one at another gateway, from whom, nor how long the store hadn't confirmed its own.

Change: one line per version when another process names a newer configuration, with its address; the source and the age of the last confirmation in 'configuration in force'; a gauge of the newest known version beside that of the one in force.

Result: no change of behaviour; tests of watch and control pass.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/store"
@@ -26,6 +27,8 @@
 	// ModelsMatter is set, because keepers report models sooner than registrations do.
 	ModelsDigest uint64
 	ModelsMatter bool
+	// From is the observing process's address for datagrams.
+	From string
 	// ConfigVersion is the version of the configuration, which the store confirmed at ConfigConfirmedAt.
 	ConfigVersion     uint64
 	ConfigConfirmedAt time.Time
@@ -51,6 +54,7 @@
 	if v.ConfigProof != proof {
 		w.view.Store(&v)
 	}
+	w.logNewerConfig(&v, obs)
 	switch {
 	case !v.HasConfig:
 	case obs.ConfigVersion > v.Config.Version:
@@ -81,6 +85,21 @@
 	}
 }
 
+// logNewerConfig logs, once a version, that another process has a configuration that this one
+// lacks, and keeps the highest such version in the view; the caller holds mu.
+func (w *Watcher) logNewerConfig(v *View, obs Observation) {
+	if obs.ConfigVersion <= max(v.NewestConfig, v.Config.Version) {
+		return
+	}
+	v.NewestConfig = obs.ConfigVersion
+	w.view.Store(v)
+	fields := logrus.Fields{"config": v.Config.Version, "observed": obs.ConfigVersion, "from": obs.From}
+	if v.HasConfig {
+		fields["confirmed_age_ms"] = time.Since(v.ConfigConfirmedAt).Milliseconds()
+	}
+	w.log.WithFields(fields).Info("another process has a newer configuration")
+}
+
 // waitForRead waits until the next read of the endpoints is due: at once if another process
 // observed different ones, else after the pause, postponed while observations match. It
 // returns the registry with the time of the last matching observation, and the version to
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -93,7 +93,9 @@
 	ConfigProof    clock.Reading
 	ConfigProvenAt time.Duration
 	ConfigProven   bool
-	Endpoints      map[string]fleet.Endpoint
+	// NewestConfig is the highest version of the configuration that another process has observed.
+	NewestConfig uint64
+	Endpoints    map[string]fleet.Endpoint
 	// StoreVersion is the store's version that the endpoints reflect; EndpointsDigest is their digest.
 	StoreVersion    store.Version
 	EndpointsDigest uint64
@@ -194,13 +196,18 @@
 		}
 		news := false
 		w.update(func(v *View) {
+			confirmedBefore := v.ConfigConfirmedAt
 			v.ConfigConfirmedAt = time.Now()
 			defer w.prover.proveByAnswer(v, ch.Clock, w.timing.Elapsed())
 			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
 				return
 			}
 			news = true
-			w.log.WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full}).Info("configuration in force")
+			fields := logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full, "source": "store"}
+			if v.HasConfig {
+				fields["confirmed_age_ms"] = v.ConfigConfirmedAt.Sub(confirmedBefore).Milliseconds()
+			}
+			w.log.WithFields(fields).Info("configuration in force")
 			v.Config, v.HasConfig = ch.Config, true
 		})
 		if news {
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -111,14 +111,14 @@
 		p.planner.handleAnnouncement(m, from, time.Now())
 		if !m.Resigned {
 			p.observe(watch.Observation{
-				StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
+				From: from, StoreVersion: m.StoreVersion, EndpointsDigest: m.EndpointsDigest, ModelsDigest: m.ModelsDigest, ModelsMatter: !p.allReported(),
 				ConfigVersion: m.ConfigVersion, ConfigConfirmedAt: time.Now().Add(-m.ConfigConfirmedAge),
 				ConfigProof: clock.Reading{Era: m.ConfigProofEra, Time: m.ConfigProofTime},
 			})
 			p.reportNewerConfig(m, from)
 		}
 	case *dgram.NewerConfig:
-		p.observe(watch.Observation{ConfigVersion: m.Version})
+		p.observe(watch.Observation{From: from, ConfigVersion: m.Version})
 	}
 }
 
--- a/internal/transport/proxy/keymetrics.go
+++ b/internal/transport/proxy/keymetrics.go
@@ -15,6 +15,7 @@
 	proofAge      prometheus.Histogram
 	proofAgeNow   prometheus.Gauge
 	configVersion prometheus.Gauge
+	newestConfig  prometheus.Gauge
 }
 
 func newKeyMetrics(reg prometheus.Registerer) keyMetrics {
@@ -32,14 +33,18 @@
 		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "chervilhead_gateway_config_version", Help: "Version of the configuration in force; 0 if there is none.",
 		}),
+		newestConfig: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "chervilhead_gateway_config_newest_version", Help: "Highest version of the configuration that this gateway knows of, in force here or at another gateway.",
+		}),
 	}
-	reg.MustRegister(m.refused, m.proofAge, m.proofAgeNow, m.configVersion)
+	reg.MustRegister(m.refused, m.proofAge, m.proofAgeNow, m.configVersion, m.newestConfig)
 	return m
 }
 
 // observeView sets the gauges from a view at a local time.
 func (m keyMetrics) observeView(v *watch.View, now time.Duration) {
 	m.configVersion.Set(float64(v.Config.Version))
+	m.newestConfig.Set(float64(max(v.Config.Version, v.NewestConfig)))
 	if !v.ConfigProven {
 		m.proofAgeNow.Set(-1)
 		return
