budget, proxy: log and count what a retry is charged to

The logs had the refusals only, neither the number of gateways by which the slack is divided nor what a gateway had counted.

Change: a line for each retry asked of the budget, with the requests and retries of the window, the allowance, the number of gateways and the age of the process; a counter by service and result and a gauge of the number of gateways.

Result: no change of behaviour; tests of budget and proxy pass.

--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -47,19 +47,33 @@
 // AddRequest counts the first attempt of a request.
 func (b *Retries) AddRequest(now time.Duration) { b.requests[b.advance(now)]++ }
 
+// Usage is what a gateway counts in the window that ends now.
+type Usage struct {
+	Requests, Retries int
+	// Allowed is the number of retries that the gateway may send in the window, of which Slack
+	// doesn't depend on the requests.
+	Allowed, Slack float64
+}
+
+// Usage returns what is counted in the window that ends now, with the slack divided evenly among
+// the given number of gateways.
+func (b *Retries) Usage(now time.Duration, gateways int) Usage {
+	b.advance(now)
+	u := Usage{Slack: safetyMargin * b.limit.Slack / float64(max(1, gateways))}
+	for k := range b.requests {
+		u.Requests += b.requests[k]
+		u.Retries += b.retries[k]
+	}
+	u.Allowed = safetyMargin*b.limit.Ratio*float64(u.Requests) + u.Slack
+	return u
+}
+
 // Take counts a retry if the budget allows one, and reports whether it did. The slack is
 // divided evenly among the given number of gateways.
 func (b *Retries) Take(now time.Duration, gateways int) bool {
-	i := b.advance(now)
-	requests, retries := 0, 0
-	for k := range b.requests {
-		requests += b.requests[k]
-		retries += b.retries[k]
-	}
-	allowed := safetyMargin * (b.limit.Ratio*float64(requests) + b.limit.Slack/float64(max(1, gateways)))
-	if float64(retries+1) > allowed {
+	if u := b.Usage(now, gateways); float64(u.Retries+1) > u.Allowed {
 		return false
 	}
-	b.retries[i]++
+	b.retries[b.advance(now)]++
 	return true
 }
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -21,6 +21,8 @@
 	ramp             *rampMetrics
 	quotaRefusals    *prometheus.CounterVec
 	yields           prometheus.Counter
+	retries          *prometheus.CounterVec
+	gateways         prometheus.Gauge
 	resumptions      *prometheus.CounterVec
 }
 
@@ -53,6 +55,13 @@
 			Name: "chervilhead_quota_yields_total", Help: "Requests sent with the last priority because their group uses more than its share.",
 		}),
 	}
+	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "chervilhead_gateway_retries_total", Help: "Retries asked of the retry budgets, by service and result.",
+	}, []string{"service", "result"})
+	m.gateways = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "chervilhead_gateway_sharers", Help: "Number of gateways by which this one divided the slack of the retry budget at its last retry.",
+	})
+	reg.MustRegister(m.retries, m.gateways)
 	m.ramp = newRampMetrics(reg)
 	m.keys = newKeyMetrics(reg)
 	reg.MustRegister(m.requests, m.timeToFirstEvent, m.rateLimits, m.notices, m.late, m.crashRecords, m.quotaRefusals, m.yields)
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -382,11 +382,13 @@
 	t.retryBudget(service).AddRequest(time.Since(t.start))
 }
 
-// takeRetry takes a retry from the service's budget, if one is left.
-func (t *tracker) takeRetry(service string, gateways int) bool {
+// takeRetry takes a retry from the service's budget, if one is left, and returns what the budget
+// counted before.
+func (t *tracker) takeRetry(service string, gateways int) (budget.Usage, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.retryBudget(service).Take(time.Since(t.start), gateways)
+	b, now := t.retryBudget(service), time.Since(t.start)
+	return b.Usage(now, gateways), b.Take(now, gateways)
 }
 
 // retain drops the records of endpoints that are no longer known, by id or pool key.
