watch, relay: a gateway reads a configuration that the store refuses it from another gateway

Callers saw: requests answered by an older configuration long after a change was confirmed (CONFIG).

Cause: only the store handed the configuration out. A gateway that the store turns away, while it serves the others, was told by announcements that there is a newer version and read the store again, in vain. The contract stretches the bound for such a gateway (3 s and 6 s) and doesn't lift it. A gateway that lost the planner meanwhile wasn't even told: only the store says who the next one is.

Class: a belief with a single source, whose failure for one host is taken for its silence to all.

Change: a gateway that knows of a newer configuration and doesn't have it from the store after 0.4 s reads it from the gateway that has it, over TCP on the port of its datagrams. Keepers report the highest version that a gateway has named and who did, so that a gateway learns of it without the planner. Only higher versions are taken, as from the store.

Why it works: every gateway hears the keepers, or the planner, at least once a second, and one of the gateways that the store serves is named there.

New bytes: two fields a report and one a keeper request.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -58,6 +58,7 @@
 	switch {
 	case !v.HasConfig:
 	case obs.ConfigVersion > v.Config.Version:
+		w.wantRelay(obs.From)
 		// Restart once per version: the store may be slow to answer the new read.
 		if obs.ConfigVersion > w.restartedFor && w.restartConfigRead != nil {
 			w.restartedFor = obs.ConfigVersion
--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,6 +42,12 @@
 	return &fakeStore{began: time.Now(), endpoints: endpointList("a", "b"), config: 1, changed: make(chan struct{})}
 }
 
+// DecodeConfig decodes a configuration that holds its version only.
+func (s *fakeStore) DecodeConfig(data []byte) (ConfigChange, error) {
+	version, err := strconv.ParseUint(string(data), 10, 64)
+	return ConfigChange{Config: fleet.NewConfig(version, nil, nil, fleet.Limits{}), Data: data, Changed: true}, err
+}
+
 func (s *fakeStore) version() store.Version {
 	return 10 + 1000*store.Version(time.Since(s.began)/(100*time.Millisecond)) + s.changes
 }
--- /dev/null
+++ b/internal/coordination/watch/relay.go
@@ -0,0 +1,94 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Relay reads the configuration that another process has in force.
+type Relay interface {
+	// ReadConfig returns the configuration of the process at an address as the store held it.
+	ReadConfig(ctx context.Context, address string) ([]byte, error)
+}
+
+const (
+	// relayDelay is the time in which the store should have answered with a configuration that
+	// another process already has; it answers in milliseconds, and 60 times as slowly at worst.
+	relayDelay = 400 * time.Millisecond
+	// relayTimeout bounds a read from another process. Its next announcement, 0.6 s after the
+	// last, starts another one.
+	relayTimeout = 500 * time.Millisecond
+)
+
+// SetRelay sets the relay of configurations that the store doesn't hand out. It must be called
+// before Run.
+func (w *Watcher) SetRelay(r Relay) { w.relay = r }
+
+// wantRelay asks for the configuration of the process that observed a newer one; the caller
+// holds mu.
+func (w *Watcher) wantRelay(from string) {
+	if from == "" {
+		return
+	}
+	w.relayFrom = from
+	select {
+	case w.relayWanted <- struct{}{}:
+	default:
+	}
+}
+
+// followRelay reads newer configurations from the processes that have them while the store
+// doesn't hand them out. Without it a process that the store refuses would answer by the old one
+// for as long as that lasts.
+func (w *Watcher) followRelay(ctx context.Context) {
+	for w.relay != nil {
+		select {
+		case <-w.relayWanted:
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, relayDelay)
+		w.mu.Lock()
+		v, from := w.view.Load(), w.relayFrom
+		w.mu.Unlock()
+		if v.HasConfig && v.NewestConfig > v.Config.Version && ctx.Err() == nil {
+			w.readRelayed(ctx, from)
+		}
+	}
+}
+
+// readRelayed reads the configuration of another process and takes it over if it is newer.
+func (w *Watcher) readRelayed(ctx context.Context, from string) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	data, err := w.relay.ReadConfig(ctx, from)
+	var ch ConfigChange
+	if err == nil {
+		ch, err = w.src.DecodeConfig(data)
+	}
+	if err != nil {
+		w.log.WithError(err).WithField("from", from).Warn("the newer configuration could not be read from the process that has it")
+		return
+	}
+	news := false
+	w.update(func(v *View) { news = w.takeConfig(v, ch, logrus.Fields{"source": from}) })
+	if news {
+		w.logSkipped(ch)
+	}
+}
+
+// takeConfig puts a configuration into force in a view if it is newer, logs that with further
+// fields and reports whether it did.
+func (w *Watcher) takeConfig(v *View, ch ConfigChange, fields logrus.Fields) bool {
+	if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
+		return false
+	}
+	if v.HasConfig {
+		fields["confirmed_age_ms"] = time.Since(v.ConfigConfirmedAt).Milliseconds()
+	}
+	w.log.WithFields(fields).WithFields(logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version}).Info("configuration in force")
+	v.Config, v.ConfigData, v.HasConfig = ch.Config, ch.Data, true
+	return true
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -21,8 +21,9 @@
 	Version store.Version
 	// Full means that the answer does not build on the version that was passed.
 	Full bool
-	// Config is the newest configuration if Changed is set.
+	// Config is the newest configuration if Changed is set, and Data what the store holds of it.
 	Config  fleet.Config
+	Data    []byte
 	Changed bool
 	// DecodeErrors has an error for each configuration that could not be decoded.
 	DecodeErrors []error
@@ -58,6 +59,8 @@
 	Config(ctx context.Context, after store.Version, wait time.Duration) (ConfigChange, error)
 	// Endpoints returns the registrations that changed after a version; version 0 returns all.
 	Endpoints(ctx context.Context, after store.Version) (EndpointChange, error)
+	// DecodeConfig decodes a configuration as the store holds it; the result has no version.
+	DecodeConfig(data []byte) (ConfigChange, error)
 }
 
 // Timing sets how often the store is read.
@@ -84,6 +87,8 @@
 type View struct {
 	Config    fleet.Config
 	HasConfig bool
+	// ConfigData is the configuration as the store held it.
+	ConfigData []byte
 	// ConfigConfirmedAt and EndpointsConfirmedAt are when the store last confirmed each,
 	// to this process or to one whose observation matched.
 	ConfigConfirmedAt, EndpointsConfirmedAt time.Time
@@ -131,6 +136,11 @@
 	restartedFor uint64
 	// answered is closed, and replaced, each time the store answers a read of the endpoints.
 	answered chan struct{}
+	// relay is nil if configurations come from the store only. relayWanted is signalled when the
+	// process at relayFrom has a newer one.
+	relay       Relay
+	relayWanted chan struct{}
+	relayFrom   string
 	// observedConfigAt is when the last observation with the current configuration version arrived.
 	observedConfigAt time.Time
 }
@@ -141,7 +151,7 @@
 	if timing.Elapsed == nil {
 		timing.Elapsed = lease.Elapsed
 	}
-	w := &Watcher{src: src, prover: prover{quarantine: restoreQuarantine * timing.EndpointPoll}, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{})}
+	w := &Watcher{src: src, prover: prover{quarantine: restoreQuarantine * timing.EndpointPoll}, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{}), relayWanted: make(chan struct{}, 1)}
 	w.view.Store(&View{})
 	return w
 }
@@ -154,6 +164,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { w.followConfig(ctx) })
 	wg.Go(func() { w.followEndpoints(ctx) })
+	wg.Go(func() { w.followRelay(ctx) })
 	wg.Wait()
 }
 
@@ -196,19 +207,9 @@
 		}
 		news := false
 		w.update(func(v *View) {
-			confirmedBefore := v.ConfigConfirmedAt
+			news = w.takeConfig(v, ch, logrus.Fields{"source": "store", "version": ch.Version.String(), "full": ch.Full})
 			v.ConfigConfirmedAt = time.Now()
-			defer w.prover.proveByAnswer(v, ch.Clock, w.timing.Elapsed())
-			if !ch.Changed || v.HasConfig && ch.Config.Version <= v.Config.Version {
-				return
-			}
-			news = true
-			fields := logrus.Fields{"config": ch.Config.Version, "before": v.Config.Version, "version": ch.Version.String(), "full": ch.Full, "source": "store"}
-			if v.HasConfig {
-				fields["confirmed_age_ms"] = v.ConfigConfirmedAt.Sub(confirmedBefore).Milliseconds()
-			}
-			w.log.WithFields(fields).Info("configuration in force")
-			v.Config, v.HasConfig = ch.Config, true
+			w.prover.proveByAnswer(v, ch.Clock, w.timing.Elapsed())
 		})
 		if news {
 			w.logSkipped(ch)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -25,6 +25,7 @@
 	"chervilhead/internal/transport/control"
 	"chervilhead/internal/transport/httpd"
 	"chervilhead/internal/transport/proxy"
+	"chervilhead/internal/transport/relay"
 )
 
 // PlatformStore is the platform's store as gateways and keepers use it.
@@ -80,6 +81,8 @@
 	health *httpd.Server
 	// metrics is nil if no address of its own is set or the address could not be opened.
 	metrics *httpd.Server
+	// relay serves the configuration to other gateways.
+	relay   *httpd.Server
 	handler *proxy.Handler
 	plane   *control.Plane
 	ready   atomic.Bool
@@ -120,6 +123,7 @@
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
+	w.SetRelay(relay.NewClient())
 	plane.Credits().Register(reg)
 	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord, RestoreVersions: g.handler.RestoreVersions})
 
@@ -129,9 +133,14 @@
 	if g.health, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
 		return fail(err)
 	}
+	if g.relay, err = relay.Listen(cfg.Listen.Datagrams, func() []byte { return w.View().ConfigData }); err != nil {
+		g.health.Close()
+		return fail(err)
+	}
 	l, err := net.Listen("tcp", cfg.Listen.Callers)
 	if err != nil {
 		g.health.Close()
+		g.relay.Close()
 		return fail(fmt.Errorf("listen on %s: %w; choose a free address", cfg.Listen.Callers, err))
 	}
 	g.srv = &http.Server{
@@ -192,6 +201,7 @@
 	}
 	g.cancel()
 	g.health.Close()
+	g.relay.Close()
 	if g.metrics != nil {
 		g.metrics.Close()
 	}
--- a/internal/protocol/dgram/message.go
+++ b/internal/protocol/dgram/message.go
@@ -44,6 +44,8 @@
 	WantedAdapters []string
 	// Move is the planner's move for the endpoint, or nil.
 	Move *Move
+	// ConfigVersion is the version of the configuration in force at the gateway.
+	ConfigVersion uint64
 }
 
 // Move tells a keeper to unload models from its endpoint, then to load one.
@@ -100,6 +102,10 @@
 	ReservedMB float64
 	// Leaving is set once the endpoint says that it leaves.
 	Leaving bool
+	// ConfigVersion is the highest version of the configuration that a gateway has named to this
+	// keeper, and ConfigHolder the address of the one that did so last.
+	ConfigVersion uint64
+	ConfigHolder  string
 }
 
 // CrashRecord is what is known of a request, or of a prompt part, by its fingerprint, that may
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -132,6 +132,10 @@
 	return watch.EndpointChange{}, nil
 }
 
+func (s staticSource) DecodeConfig([]byte) (watch.ConfigChange, error) {
+	return watch.ConfigChange{Config: s.cfg, Changed: true}, nil
+}
+
 // loadWindow is the window over which the cluster's weight store counts loads.
 const loadWindow = time.Second
 
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -57,7 +57,7 @@
 }
 
 func (p *Plane) send(e fleet.Endpoint, req *dgram.KeeperRequest) {
-	req.Gateway, req.Endpoint, req.Incarnation = p.cfg.GatewayID, e.ID, e.Incarnation
+	req.Gateway, req.Endpoint, req.Incarnation, req.ConfigVersion = p.cfg.GatewayID, e.ID, e.Incarnation, p.view().Config.Version
 	if !p.hooks.RecentlyUsed(e.ID) {
 		req.ReportInterval = idleReportInterval
 	}
@@ -99,6 +99,9 @@
 	switch m := m.(type) {
 	case *dgram.EndpointState:
 		p.handleEndpointState(m)
+		if m.ConfigVersion > p.view().Config.Version {
+			p.observe(watch.Observation{From: m.ConfigHolder, ConfigVersion: m.ConfigVersion})
+		}
 	case *dgram.StreamRecords:
 		p.streamQueries.handleReply(m, from)
 	case *dgram.Demand:
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -94,8 +94,12 @@
 	// pausedUntil is the end of the pause that the engine's incarnation asked for.
 	pausedUntil time.Time
 	// healthPath is the health check's path, or empty until the configuration was read.
-	healthPath        string
-	fencingToken      uint64
+	healthPath   string
+	fencingToken uint64
+	// newestConfig is the highest version of the configuration that a gateway has named, and
+	// configHolder the address of the one that did so last.
+	newestConfig      uint64
+	configHolder      string
 	wantedConfigHash  uint64
 	configHash        uint64
 	wantedAdapters    map[fleet.ModelName]time.Time
@@ -302,6 +306,7 @@
 		}
 	}
 	st.Gateways = len(k.subscribers)
+	st.ConfigVersion, st.ConfigHolder = k.newestConfig, k.configHolder
 	k.sendReport(st, now)
 }
 
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -93,6 +93,9 @@
 		default:
 		}
 	}
+	if req.ConfigVersion > 0 && req.ConfigVersion >= k.newestConfig {
+		k.newestConfig, k.configHolder = req.ConfigVersion, from
+	}
 	for _, u := range req.UsedAdapters {
 		k.lastUsed[fleet.ParseModelName(u)] = now
 	}
