budget, control: a gateway that restarts, or falls silent, has spent its share of the retry budget

Callers saw: nothing at once; endpoints got more repeats than the platform allows (BUDGET), which in a storm of failures take the places of requests that come for the first time.

Cause: the slack of the budget, which doesn't depend on the requests, is divided among the gateways that are heard now, and each process counts what it spent itself. A process that restarts forgets what it spent in the window and spends its share again; keepers that restart count the gateways from one; and while gateways are away the others spend their shares too, before they come back. After a loss of all hosts gateways divided by 4 to 15 of 22 for a second.

Class: a limit over all processes that is kept by memory which ends with one of them, or by a count of those that happen to be heard.

Change: unless the system starts for the first time, a process takes its share as spent for one window; what the requests since its start allow is counted as before. The slack and endpoints' rate limits are divided by the highest number of gateways of the last minute, and by 100 while keepers may still count. A silent gateway may be cut off and go on sending.

Why it works: in every window each gateway spends its share once at most, whatever restarts, and the number never falls before those that it leaves out have been silent for longer than a window.

Result: TestRetriesForgottenAtRestart (132 to 154 retries, 128 allowed) and TestRetriesWhileGatewaysAreAway (134) failed before and pass. Without the new number TestGatewayCountAfterLossOfAllHosts would be told 1. Tests that start a gateway for the first time now say so.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -80,6 +80,9 @@
 	Ratio  float64       `yaml:"ratio"`
 	Slack  float64       `yaml:"slack"`
 	Window time.Duration `yaml:"window"`
+	// FirstStart says that the whole system starts for the first time, so that no gateway has
+	// spent anything of the budget.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // ModelLoadLimit bounds the loads from the weight store in addition to the rate that the operators set.
--- a/internal/config/gateway_test.go
+++ b/internal/config/gateway_test.go
@@ -15,6 +15,7 @@
 	"nodeName|json": `"frontend-a-1"`, "zone|json": `"a"`, "listen.front|json": `"10.1.0.38:8149"`, "listen.ready|json": `"10.1.0.38:8141"`,
 	"ip": "10.1.0.38", "internalPorts.0": "7380", "internalPorts.1": "7395", "platform.address|json": `"10.200.1.7:8142"`,
 	"bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "56", "bounds.budgetWindowS": "10", "bounds.graceS": "8",
+	"#bootstrap": "", "/bootstrap": "",
 	"bounds.ceilingWindowS": "4", "#bounds.ceilingWindowS": "", "/bounds.ceilingWindowS": "",
 	"#bounds.revokeStrict": "", "/bounds.revokeStrict": "", "bounds.revokeMs": "5000",
 	"limits.memoryMb": "284", "service|json": `"s"`, "app|json": `"10.1.0.40:8145"`,
@@ -43,7 +44,7 @@
 		t.Fatal(err)
 	}
 	g, ok := s.(*Gateway)
-	if !ok || g.Retries.Slack != 56 || g.Shutdown.GracePeriod != 8*time.Second || g.KeeperPort != 7395 || g.Resources.MemoryMB != 284 || g.ModelLoadLimit.Window != 4*time.Second || g.Revocation != (Revocation{Strict: true, Bound: 5 * time.Second}) {
+	if !ok || g.Retries.Slack != 56 || !g.Retries.FirstStart || g.Shutdown.GracePeriod != 8*time.Second || g.KeeperPort != 7395 || g.Resources.MemoryMB != 284 || g.ModelLoadLimit.Window != 4*time.Second || g.Revocation != (Revocation{Strict: true, Bound: 5 * time.Second}) {
 		t.Errorf("settings %+v", s)
 	}
 	if s, err = Parse("keeper", []byte(render(t, "keeper.yaml.tmpl"))); err != nil {
@@ -54,6 +55,17 @@
 	}
 }
 
+// TestFirstStartSetting guards against a restarted gateway that takes itself for one of a system that starts for the first time.
+func TestFirstStartSetting(t *testing.T) {
+	s, err := Parse("gateway", []byte(strings.ReplaceAll(render(t, "gateway.yaml.tmpl"), "  first_start: true\n", "")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g, ok := s.(*Gateway); !ok || g.Retries.FirstStart {
+		t.Errorf("settings %+v, want no first start", s)
+	}
+}
+
 // TestRampSetting guards against limits for endpoints that have just started where the settings don't ask for them.
 func TestRampSetting(t *testing.T) {
 	base := strings.ReplaceAll(render(t, "gateway.yaml.tmpl"), "ramp: true\n", "")
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -25,10 +25,20 @@
 	requests [windowSteps + 1]int
 	retries  [windowSteps + 1]int
 	step     int64
+	// slackFrom is the time from which the budget allows slack.
+	slackFrom time.Duration
 }
 
-// New returns a budget in which no request or retry is counted yet.
-func New(limit Limit) *Retries { return &Retries{limit: limit} }
+// New returns a budget in which no request or retry is counted yet. Unless firstStart is set, a
+// process that ran here before may have spent this gateway's share of the slack, so that the first
+// window after the start has none.
+func New(limit Limit, firstStart bool) *Retries {
+	b := &Retries{limit: limit}
+	if !firstStart {
+		b.slackFrom = limit.Window + limit.Window/windowSteps
+	}
+	return b
+}
 
 // advance clears the steps up to a time and returns the index of the current step.
 func (b *Retries) advance(now time.Duration) int {
@@ -59,7 +69,10 @@
 // the given number of gateways.
 func (b *Retries) Usage(now time.Duration, gateways int) Usage {
 	b.advance(now)
-	u := Usage{Slack: safetyMargin * b.limit.Slack / float64(max(1, gateways))}
+	var u Usage
+	if now >= b.slackFrom {
+		u.Slack = safetyMargin * b.limit.Slack / float64(max(1, gateways))
+	}
 	for k := range b.requests {
 		u.Requests += b.requests[k]
 		u.Retries += b.retries[k]
--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -12,7 +12,7 @@
 	const gateways = 6
 	var budgets []*Retries
 	for range gateways {
-		budgets = append(budgets, New(limit))
+		budgets = append(budgets, New(limit, true))
 	}
 	const step = 100 * time.Millisecond
 	var requests, retries []int
@@ -57,7 +57,7 @@
 }
 
 func TestLongPause(t *testing.T) {
-	b := New(Limit{Ratio: 0, Slack: 10, Window: time.Second})
+	b := New(Limit{Ratio: 0, Slack: 10, Window: time.Second}, true)
 	for b.Take(0, 1) {
 	}
 	if b.Take(500*time.Millisecond, 1) {
@@ -80,14 +80,14 @@
 func newFleet(limit Limit, gateways int) *fleetOfBudgets {
 	f := &fleetOfBudgets{limit: limit, budgets: make([]*Retries, gateways), startedAt: make([]time.Duration, gateways), back: make([]time.Duration, gateways)}
 	for i := range f.budgets {
-		f.budgets[i] = New(limit)
+		f.budgets[i] = New(limit, true)
 	}
 	return f
 }
 
 // restart replaces a gateway by one that returns at a time and counts from zero.
 func (f *fleetOfBudgets) restart(i int, back time.Duration) {
-	f.budgets[i], f.startedAt[i], f.back[i] = New(f.limit), back, back
+	f.budgets[i], f.startedAt[i], f.back[i] = New(f.limit, false), back, back
 }
 
 const fleetStep = 100 * time.Millisecond
--- a/internal/transport/control/announce_test.go
+++ b/internal/transport/control/announce_test.go
@@ -259,3 +259,35 @@
 		}
 	})
 }
+
+// TestGatewayCountAfterLossOfAllHosts guards against gateways that take the number of those that came back first, or that are still heard, for the number of all.
+func TestGatewayCountAfterLossOfAllHosts(t *testing.T) {
+	view := &watch.View{HasConfig: true, Config: fleet.NewConfig(7, nil, nil, fleet.Limits{}), EndpointsConfirmedAt: time.Now(), StoreVersion: 40}
+	a := startTestGateway(t, "a", &rows{rows: map[string]store.Row{}}, view)
+	report := func(keeperIncarnation int64, sequence uint64, gateways int) {
+		a.handleEndpointState(&dgram.EndpointState{Address: "10.0.0.1:1", KeeperIncarnation: keeperIncarnation, MessageSequence: sequence, Alive: true, Gateways: gateways})
+	}
+	// A keeper that has just started has heard of one gateway.
+	report(1, 1, 1)
+	if n := a.GatewayBound(); n < defaultGatewayCount {
+		t.Errorf("limits are divided by %d while keepers may still count, want %d or more", n, defaultGatewayCount)
+	}
+	a.mu.Lock()
+	a.startedAt = time.Now().Add(-gatewayCountSettled)
+	a.mu.Unlock()
+	report(1, 2, 22)
+	if n := a.GatewayBound(); n != 22 {
+		t.Errorf("limits are divided by %d, want the number that a keeper has counted, 22", n)
+	}
+	report(1, 3, 4)
+	if n := a.GatewayBound(); n != 22 {
+		t.Errorf("limits are divided by %d after most gateways fell silent, want 22", n)
+	}
+	report(2, 1, 1)
+	if n := a.GatewayBound(); n != 22 {
+		t.Errorf("limits are divided by %d after a restart of the keeper, want 22", n)
+	}
+	if peak := (gatewayPeak{22, time.Now()}).with(4, time.Now().Add(silentGatewayTime+time.Second)); peak.count != 4 {
+		t.Errorf("limits are divided by %d for gateways that are gone for good, want 4", peak.count)
+	}
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -71,10 +71,6 @@
 	// ticksPerIdleSubscription is the number of ticks between subscriptions to the keeper of an
 	// engine that isn't in use; it is several times in a subscription's life.
 	ticksPerIdleSubscription = 3 * ticksPerSubscription
-	// defaultGatewayCount is assumed until a keeper or the planner has reported the number of
-	// gateways. It is that of a large deployment, because the gateways' shares of common limits
-	// must not exceed them.
-	defaultGatewayCount = 100
 )
 
 // report is the newest report of one keeper.
@@ -110,7 +106,9 @@
 	mu sync.Mutex
 	// reports holds the keepers' newest reports, by address of the endpoint.
 	reports map[string]*report
-	known   map[string]bool
+	// gatewayPeak is the highest number of gateways reported lately.
+	gatewayPeak gatewayPeak
+	known       map[string]bool
 	// usedSince holds, by endpoint id, the time from which this gateway asks for reports at the
 	// keeper's own interval.
 	usedSince    map[string]time.Time
@@ -449,18 +447,3 @@
 	}
 	return true
 }
-
-// GatewayCount returns the largest number of gateways that a keeper or the planner reports, or a
-// default until one has reported.
-func (p *Plane) GatewayCount() int {
-	n := int(p.planner.gateways.Load())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, r := range p.reports {
-		n = max(n, r.gateways)
-	}
-	if n <= 0 {
-		return defaultGatewayCount
-	}
-	return n
-}
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -164,6 +164,7 @@
 	}
 	changed := status.Sequence != r.status.Sequence || status.Alive != r.status.Alive || status.Leaving != r.status.Leaving || status.ExecutingOrder != r.status.ExecutingOrder || len(status.Models) != len(r.status.Models) || len(status.LoadingAdapters) > 0 || len(m.RefusedAdapters) > 0
 	r.incarnation, r.sequence, r.status, r.endpoint, r.gateways, r.refusedAdapters = m.KeeperIncarnation, m.MessageSequence, status, m.Endpoint, m.Gateways, m.RefusedAdapters
+	p.gatewayPeak = p.gatewayPeak.with(m.Gateways, status.ReceivedAt)
 	r.move = moveProgress{m.MoveFencingToken, m.MoveID, m.MoveDone}
 	p.outdated.Store(true)
 	if changed {
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -166,7 +166,7 @@
 	}
 	c.releaseWindow()
 	now := time.Now()
-	gateways := h.control.GatewayCount()
+	gateways := h.control.GatewayBound()
 	opts := h.optionsFor(c, service, states, gateways, now)
 	candidates := opts.candidates
 	h.tracker.ramps.considered(candidates, gateways, now)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -56,6 +56,9 @@
 	QueryStreamRecord(ctx context.Context, service string, key uint64) (resume.Record, resume.Source)
 	// GatewayCount returns the number of gateways, or a default until it is known.
 	GatewayCount() int
+	// GatewayBound returns a number that isn't below that of the gateways that may be sending. The
+	// slack of retry budgets and the rate limits of endpoints are divided by it.
+	GatewayBound() int
 }
 
 // Settings configure a handler.
@@ -64,6 +67,9 @@
 	// GatewayID is the gateway's name, FailureDomain its failure domain.
 	GatewayID, FailureDomain string
 	RetryBudget              budget.Limit
+	// FirstStart is set if no gateway has run here before, so that nothing of the retry budget can
+	// have been spent.
+	FirstStart bool
 	// Random supplies the draws that keep gateways from acting in step; nil uses a random source.
 	Random jitter.Random
 	// ConfigStaleAfter is the age from which an unconfirmed configuration may lack a route; a
@@ -103,7 +109,7 @@
 	if cfg.Elapsed == nil {
 		cfg.Elapsed = lease.Elapsed
 	}
-	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget), poisonTracker: newPoisonTracker(), versions: newStreamVersions(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
+	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget, cfg.FirstStart), poisonTracker: newPoisonTracker(), versions: newStreamVersions(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
 	if cfg.Ramp {
 		h.tracker.ramps = newRamps(cfg.GatewayID, h.tracker.start, metrics.ramp, log)
 	}
--- a/internal/transport/proxy/handler_test.go
+++ b/internal/transport/proxy/handler_test.go
@@ -137,6 +137,7 @@
 func (f fakeControlPlane) TrackRunning(string, string) func()         { return func() {} }
 func (f fakeControlPlane) RecordNoCapacity(string, string)            { f.noCapacity.Add(1) }
 func (f fakeControlPlane) GatewayCount() int                          { return 1 }
+func (f fakeControlPlane) GatewayBound() int                          { return 1 }
 func (f fakeControlPlane) KeepersAbsent(string) bool                  { return f.keepersAbsent.Load() }
 func (f fakeControlPlane) BroadcastCrashRecords([]poison.CrashRecord) {}
 
@@ -179,7 +180,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h := New(Settings{
-		Headers: testHeaders, FailureDomain: "z", Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Second, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Headers: testHeaders, FailureDomain: "z", Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Second, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, FirstStart: true,
 	}, g.view.Load, fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, notice.NewLeavers(), &g.keepersAbsent}, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
 	g.handler, g.Server = h, httptest.NewServer(h)
 	t.Cleanup(g.Close)
--- a/internal/transport/proxy/notice.go
+++ b/internal/transport/proxy/notice.go
@@ -90,7 +90,7 @@
 func (h *Handler) pauseLeft(c *call) time.Duration {
 	req := c.req
 	req.Tried = nil
-	gateways := h.control.GatewayCount()
+	gateways := h.control.GatewayBound()
 	candidates := h.tracker.candidates(h.states(c), 0, req, gateways, func(fleet.Endpoint) bool { return false })
 	return pick.PauseLeft(req, candidates, time.Now())
 }
--- a/internal/transport/proxy/options.go
+++ b/internal/transport/proxy/options.go
@@ -14,14 +14,15 @@
 	adapterSlots int
 }
 
-// optionsFor returns the candidates for a request as the gateway knows them now.
+// optionsFor returns the candidates for a request as the gateway knows them now; gateways is the
+// number among which limits are divided.
 func (h *Handler) optionsFor(c *call, service fleet.Service, states []fleet.State, gateways int, now time.Time) options {
 	var opts options
 	slots := 0
 	if service.Engine != nil {
 		slots, opts.adapterSlots = service.Engine.Slots, service.Engine.AdapterSlots
 	}
-	c.req.Gateways, c.req.Repeatable = gateways, c.route.Repeatable()
+	c.req.Gateways, c.req.Repeatable = h.control.GatewayCount(), c.route.Repeatable()
 	c.req.HeldOnly = c.req.ModelName.Adapter != "" && h.control.KeepersAbsent(service.Name)
 	c.req.MaxPause = max(0, time.Duration(pauseObjectiveShare*float64(c.route.Objective))-now.Sub(c.began))
 	opts.candidates = h.tracker.candidates(states, slots, c.req, gateways, func(e fleet.Endpoint) bool { return h.pool.HasIdle(poolKey(e), now) })
--- a/internal/transport/proxy/ratelimit.go
+++ b/internal/transport/proxy/ratelimit.go
@@ -59,7 +59,7 @@
 	if before == limit {
 		return
 	}
-	fields := logrus.Fields{"endpoint": e.ID, "service": e.Service, "limit": limit.perSecond, "before": before.perSecond, "gateways": h.control.GatewayCount()}
+	fields := logrus.Fields{"endpoint": e.ID, "service": e.Service, "limit": limit.perSecond, "before": before.perSecond, "gateways": h.control.GatewayBound()}
 	if limit.named {
 		h.metrics.rateLimits.WithLabelValues(e.Service, "named").Inc()
 		h.log.WithFields(fields).Info("an endpoint limits the rate of its requests")
--- a/internal/transport/proxy/ratelimit_test.go
+++ b/internal/transport/proxy/ratelimit_test.go
@@ -141,7 +141,7 @@
 func BenchmarkCandidates(b *testing.B) {
 	for name, limit := range map[string]rateLimit{"no_limits": {}, "all_limited": {named: true, perSecond: 1}} {
 		b.Run(name, func(b *testing.B) {
-			tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+			tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, true)
 			var states []fleet.State
 			for i := range 600 {
 				e := fleet.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s"}
@@ -158,7 +158,7 @@
 
 // TestRateLimitOutlivesRegistration guards against a limit that is forgotten because the endpoint's registration was missing for a while or an older incarnation's answer came late.
 func TestRateLimitOutlivesRegistration(t *testing.T) {
-	tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second})
+	tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, true)
 	old, next := fleet.Endpoint{ID: "e", Service: "s", Incarnation: 1}, fleet.Endpoint{ID: "e", Service: "s", Incarnation: 2}
 	limited := func() bool {
 		list := tr.candidates([]fleet.State{{Endpoint: next}}, 4, pick.Request{Service: "s"}, 1, func(fleet.Endpoint) bool { return false })
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -29,6 +29,7 @@
 	prefillRatios map[string]float64
 	retryBudgets  map[string]*budget.Retries
 	retryLimit    budget.Limit
+	firstStart    bool
 	start         time.Time
 	statements    map[fleet.IncarnationID]*statements
 	// pauses are those that endpoints asked this gateway for.
@@ -102,8 +103,8 @@
 	minPrefillRatio, maxPrefillRatio = 0.25, 3
 )
 
-func newTracker(limit budget.Limit) *tracker {
-	return &tracker{endpoints: map[string]*endpointRecord{}, latencyModels: map[string]pick.LatencyModel{}, prefillRatios: map[string]float64{}, retryBudgets: map[string]*budget.Retries{}, retryLimit: limit, start: time.Now(), statements: map[fleet.IncarnationID]*statements{}, pauses: notice.NewPauses()}
+func newTracker(limit budget.Limit, firstStart bool) *tracker {
+	return &tracker{endpoints: map[string]*endpointRecord{}, latencyModels: map[string]pick.LatencyModel{}, prefillRatios: map[string]float64{}, retryBudgets: map[string]*budget.Retries{}, retryLimit: limit, firstStart: firstStart, start: time.Now(), statements: map[fleet.IncarnationID]*statements{}, pauses: notice.NewPauses()}
 }
 
 func (t *tracker) endpoint(e fleet.Endpoint) *endpointRecord {
@@ -369,7 +370,7 @@
 func (t *tracker) retryBudget(service string) *budget.Retries {
 	b, ok := t.retryBudgets[service]
 	if !ok {
-		b = budget.New(t.retryLimit)
+		b = budget.New(t.retryLimit, t.firstStart)
 		t.retryBudgets[service] = b
 	}
 	return b
--- a/internal/transport/proxy/tracker_test.go
+++ b/internal/transport/proxy/tracker_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestTracker(t *testing.T) {
-	tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 10, Window: time.Second})
+	tr := newTracker(budget.Limit{Ratio: 0.2, Slack: 10, Window: time.Second}, true)
 	e := fleet.Endpoint{ID: "e", Service: "s", FailureDomain: "z", Models: []fleet.Resident{{Model: "m"}}}
 	req := pick.Request{Service: "s", ModelName: fleet.ParseModelName("m/x"), Parts: pick.ParsePromptParts(fleet.ParseModelName("m/x"), "a:10,b:20,c:5"), SharedParts: 2}
 	states := []fleet.State{{Endpoint: e}}
@@ -46,7 +46,7 @@
 	}
 
 	// Another gateway learns the shared prefixes; a new incarnation has an empty cache.
-	other := newTracker(budget.Limit{Window: time.Second})
+	other := newTracker(budget.Limit{Window: time.Second}, true)
 	other.merge(e, []uint64{req.Parts[0].PrefixHash, req.Parts[1].PrefixHash})
 	if c := other.candidates(states, 4, req, 1, connected)[0]; c.CachedTokens != 30 {
 		t.Errorf("the other gateway estimates %d cached tokens, want 30", c.CachedTokens)
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -254,7 +254,7 @@
 		return
 	}
 	c.redirectChecked = true
-	all := h.optionsFor(c, service, h.control.States(), c.req.Gateways, now)
+	all := h.optionsFor(c, service, h.control.States(), h.control.GatewayBound(), now)
 	ch, ok := h.bestOf(c, all, now)
 	if ok && candidateOf(all.candidates, ch.ID).State.SoftwareVersion != c.version {
 		h.logResumption(c, "redirected")
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -91,7 +91,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	plane := versionPlane{fakeControlPlane{func() []fleet.State { return *g.states.Load() }, &g.noAdapterSlot, &g.noCapacity, notice.NewLeavers(), &g.keepersAbsent}, f.keepers}
 	g.handler = New(Settings{
-		Headers: testHeaders, FailureDomain: domain, Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Minute, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Headers: testHeaders, FailureDomain: domain, Random: func(int64) int64 { return 0 }, ConfigStaleAfter: time.Minute, RetryBudget: budget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, FirstStart: true,
 	}, g.view.Load, plane, http1.NewPool(time.Second), NewMetrics(prometheus.NewRegistry()), logrus.NewEntry(log))
 	f.list(g, f.endpoints...)
 	g.Server = httptest.NewServer(g.handler)
--- a/internal/transport/proxy/where.go
+++ b/internal/transport/proxy/where.go
@@ -100,7 +100,7 @@
 // where answers a question. It sends nothing and changes nothing on which decisions depend.
 func (h *Handler) where(r *http.Request) Where {
 	now, q, v := time.Now(), r.URL.Query(), h.view()
-	out := Where{Gateway: h.cfg.GatewayID, Gateways: h.control.GatewayCount(), ConfigAgeMS: ageMS(now, v.ConfigConfirmedAt), RegistrationsAgeMS: ageMS(now, v.EndpointsConfirmedAt), RegistrationsCertain: !v.EndpointsUncertain}
+	out := Where{Gateway: h.cfg.GatewayID, Gateways: h.control.GatewayBound(), ConfigAgeMS: ageMS(now, v.ConfigConfirmedAt), RegistrationsAgeMS: ageMS(now, v.EndpointsConfirmedAt), RegistrationsCertain: !v.EndpointsUncertain}
 	if !v.HasConfig {
 		out.Verdict = "no_config"
 		return out
