events, proxy: only a stream's next event is passed on after it has begun

Reported by other operators: a stream had begun and broke off, the next runner answered with an error, and clients found the error's text or head inside their stream, or the stream ended as if complete.

Shown here: a resumption was checked by its status and signature only. An answer 200 with a signature was relayed whatever its bytes were: text, JSON, a head, events without id, the stream from its beginning, nothing at all. In an answer without length or chunks a head after the events passed for an event, too.

Cause: bytes were checked for being events, not for being this stream's next ones. Class: a part of a message is accepted by its envelope.

Change: once a stream has had an event with an id, only events with higher ids are passed on; what precedes the first event of a resumption is held until that event is there; at the joint of two answers the ids must go on without a gap if they had none before; a resumption without an event is a failed attempt. The same holds for a caller's own resumption, from its Last-Event-Id. The attempt counts as run and failed, not as a crash. A stream without ids is relayed as before.

TestEventsInPieces guards sound streams.

--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -14,6 +14,7 @@
 
 	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/watch"
+	"chervilhead/internal/protocol/events"
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/budget"
 	"chervilhead/internal/state/fleet"
@@ -183,6 +184,8 @@
 	reportAge     time.Duration
 	configVersion uint64
 	lastEventID   string
+	// order tells which event may come next in the caller's stream.
+	order events.Order
 	// resumes is what is known of the stream that the request resumes, nil if it begins one.
 	resumes *resume.Evidence
 	// bound is set while only endpoints of the software version may get the request.
@@ -264,6 +267,9 @@
 		return
 	}
 	c.route, c.configVersion = route, v.Config.Version
+	if route.Kind == fleet.Stream && route.Resumable {
+		c.order = events.After(in.Header.Get(h.cfg.Headers.LastEventID))
+	}
 	if !h.authorize(c, v) {
 		return
 	}
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -28,27 +28,39 @@
 	buf := make([]byte, streamBufferBytes)
 	var pending []byte
 	anyEvent := false
+	c.order = c.order.Join()
+	resumed := c.order.Continues()
 	for {
 		n, err := resp.Read(buf)
 		pending = append(pending, buf[:n]...)
 		parsed := events.Parse(pending)
-		if parsed.Any {
+		order, complete := c.order.WithEvents(pending[:parsed.Complete])
+		notNext := complete < parsed.Complete
+		if order.Continues() {
+			// What precedes the first event of a resumption may belong to an error.
+			complete = 0
+		}
+		if complete > 0 && parsed.Any {
 			anyEvent = true
 			h.recordAnswer(c, time.Now())
 		}
-		complete := parsed.Complete
+		c.order = order
 		c.partialEventBytes = len(pending) - complete
 		if errors.Is(err, io.EOF) {
 			switch {
-			case parsed.Partial && endsBetweenEvents:
+			case parsed.Partial && (endsBetweenEvents || order.Begun()):
 				err = errCutInsideEvent
-			case unframed && !anyEvent:
+			case (unframed || resumed) && !anyEvent:
 				// An endpoint that dies before its first event ends the connection just so.
 				err = errNoEvent
-			default:
+			case !notNext:
 				complete = len(pending)
 			}
 		}
+		if notNext {
+			// The endpoint's bytes from here on belong to no event of this stream.
+			err = errNotNextEvent
+		}
 		if complete > 0 {
 			onFirst()
 			now := time.Now()
@@ -58,8 +70,8 @@
 			c.lastEventAt = now
 			h.writeStreamHeader(c, resp)
 			h.recordEvent(c, e)
-			if parsed.LastID != "" {
-				c.lastEventID = parsed.LastID
+			if id := events.Parse(pending[:complete]).LastID; id != "" {
+				c.lastEventID = id
 			}
 			_, werr := c.w.Write(pending[:complete])
 			if werr == nil {
@@ -86,7 +98,8 @@
 			if c.ctx.Err() == nil {
 				h.tracker.recordResult(e, false)
 			}
-			return attemptFailed{mayHaveRun: true, connectionBroken: c.ctx.Err() == nil, reason: "stream_broken: " + err.Error()}
+			broken := c.ctx.Err() == nil && !errors.Is(err, errNotNextEvent) && (unframed || !errors.Is(err, errNoEvent))
+			return attemptFailed{mayHaveRun: true, connectionBroken: broken, reason: "stream_broken: " + err.Error()}
 		}
 	}
 }
@@ -94,7 +107,8 @@
 var (
 	errEventTooLong   = errors.New("the event exceeds the gateway's size limit")
 	errCutInsideEvent = errors.New("the stream ended inside an event")
-	errNoEvent        = errors.New("the connection ended before the first event")
+	errNoEvent        = errors.New("the answer ended before its first event")
+	errNotNextEvent   = errors.New("the endpoint's bytes are not the stream's next event")
 )
 
 // writeStreamHeader sends the response header once; when another endpoint resumes the stream,
