--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/pick"
@@ -227,22 +225,6 @@
 	return dispatch{chosen.State, now.Add(max(wait, chosen.PauseLeft))}
 }
 
-// takeRetry takes a retry from the service's budget; it returns false if none is left.
-func (h *Handler) takeRetry(c *call, service string, gateways int) bool {
-	usage, ok := h.tracker.takeRetry(service, gateways)
-	result := "taken"
-	if !ok {
-		result = "refused"
-	}
-	h.metrics.retries.WithLabelValues(service, result).Inc()
-	h.metrics.gateways.Set(float64(gateways))
-	h.log.WithFields(logrus.Fields{
-		"request": c.id, "of_service": service, "result": result, "requests": usage.Requests, "retries": usage.Retries,
-		"allowed": usage.Allowed, "slack": usage.Slack, "gateways": gateways, "up_ms": time.Since(h.tracker.start).Milliseconds(),
-	}).Info("a retry was asked of the budget")
-	return ok
-}
-
 // tooLate reports whether a choice can't serve the request before its deadline, or before its
 // client gives up.
 func (h *Handler) tooLate(c *call, ch pick.Choice) bool {
