soak: the store refuses a gateway for long beside a change

The soak adds a route while the store refuses one gateway in one of three ways, and checks after the 8 s of its contract that the gateway serves it, unless the gateway itself was disturbed.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,6 +38,7 @@
 	keyChange
 	quotaChange
 	keyRevoke
+	gatewayRefusal
 )
 
 // String returns the kind's name in reports.
@@ -45,7 +46,7 @@
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
 		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore", "rate_limit", "endpoint_leave", "endpoint_pause",
-		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke",
+		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke", "gateway_refusal",
 	}[k]
 }
 
@@ -159,6 +160,8 @@
 		s.changeQuota(e)
 	case keyRevoke:
 		s.revokeKey(e)
+	case gatewayRefusal:
+		s.refuseGateway(e)
 	case newRoute:
 		s.env.AddRoute()
 	case historyDrop:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -25,6 +25,9 @@
 	meanKeyChangeInterval = 1500 * time.Millisecond
 	// meanQuotaChangeInterval is the mean time between quotas that are raised for a while.
 	meanQuotaChangeInterval = 10 * time.Second
+	// meanRefusalInterval is the mean time between gateways that the store refuses, each of which
+	// takes nine seconds or more.
+	meanRefusalInterval = 4 * time.Second
 	// meanRevokeInterval is the mean time between keys that are removed while a gateway is cut off,
 	// each of which takes six seconds or more.
 	meanRevokeInterval = 6 * time.Second
@@ -86,6 +89,10 @@
 	return scheduleKind(keyRevoke, 11, seed, length, meanRevokeInterval)
 }
 
+func scheduleRefusals(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(gatewayRefusal, 12, seed, length, meanRefusalInterval)
+}
+
 // scheduleAll returns all faults of a run, ordered by time.
 func scheduleAll(cfg Settings) []faultEvent {
 	if cfg.DisableFaults {
@@ -106,6 +113,7 @@
 		{cfg.Keys, scheduleKeyChanges},
 		{cfg.Quotas, scheduleQuotaChanges},
 		{cfg.StrictRevocation, scheduleRevokes},
+		{cfg.Refusals, scheduleRefusals},
 	} {
 		if kind.on {
 			events = append(events, kind.list(cfg.Seed, cfg.InjectionDuration)...)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,8 @@
 	// Keys gives callers keys, which are added and removed; StrictRevocation makes the gateways
 	// prove that a key is valid. Quotas gives the groups of callers quotas. The latter two include Keys.
 	Keys, StrictRevocation, Quotas bool
+	// Refusals adds gateways that the store refuses for long beside a change.
+	Refusals bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
