control: a quota's fallback share isn't that of a gateway alone

While the planner doesn't answer, a gateway takes half of a quota divided by the number of gateways. Found by looking for the cause of the retries beyond their budget elsewhere: a limit over all that is divided by those who are heard.

Change: it is divided by the bound on the number of gateways, as retry budgets are.

--- a/internal/transport/control/credit.go
+++ b/internal/transport/control/credit.go
@@ -73,7 +73,7 @@
 	for {
 		gateways := 0
 		if !c.account.Connected(now) {
-			gateways = c.plane.GatewayCount()
+			gateways = c.plane.GatewayBound()
 		}
 		switch d := c.account.Take(now, g, units, gateways).(type) {
 		case credit.Taken:
--- a/internal/transport/control/credit_test.go
+++ b/internal/transport/control/credit_test.go
@@ -192,3 +192,23 @@
 	m.Sequence = seq
 	return fromCreditRequest(m)
 }
+
+// TestFallbackAfterLossOfAllHosts guards against gateways that each take a share of a quota as if they were alone, because the keepers have heard of no other one yet.
+func TestFallbackAfterLossOfAllHosts(t *testing.T) {
+	const perSecond = 100_000
+	view := quotaView(1, perSecond)
+	p, _ := planeWith(t, 0)
+	p.view = func() *watch.View { return view }
+	p.handleEndpointState(&dgram.EndpointState{Address: "10.0.0.1:1", KeeperIncarnation: 1, MessageSequence: 1, Alive: true, Gateways: 1})
+	used := 0.0
+	began := time.Now()
+	for time.Since(began) < 3*time.Second {
+		if _, ok := p.Credits().Take(t.Context(), view.Config.Groups()["group-0"], 10, 0); ok {
+			used += 10
+		}
+	}
+	// A twentieth of the quota's rate is five times the share of one of a hundred gateways.
+	if most := perSecond / 20 * time.Since(began).Seconds(); used > most {
+		t.Errorf("%v tokens used without a planner, want at most %v", used, most)
+	}
+}
