--- a/internal/coordination/watch/relay_test.go
+++ b/internal/coordination/watch/relay_test.go
@@ -14,7 +14,7 @@
 	"chervilhead/internal/coordination/store"
 )
 
-// refusingStore refuses every call once it is told to.
+// refusingStore rejects every call while refuses is set.
 type refusingStore struct {
 	*fakeStore
 	refuses atomic.Bool
--- a/internal/state/budget/budget_test.go
+++ b/internal/state/budget/budget_test.go
@@ -92,8 +92,8 @@
 
 const fleetStep = 100 * time.Millisecond
 
-// step plays a tenth of a second in which each gateway gets a request a second and is told the
-// number of gateways that are counted.
+// step advances the fleet by fleetStep. Each gateway gets one request a second; counted is the
+// number of gateways among which the slack is divided.
 func (f *fleetOfBudgets) step(now time.Duration, counted int) {
 	requests, retries := 0, 0
 	for i, b := range f.budgets {
--- a/internal/transport/proxy/refusal_test.go
+++ b/internal/transport/proxy/refusal_test.go
@@ -66,7 +66,7 @@
 							case at == "during" && requests == 1:
 								answer(c, r, framing, "", bytes)
 							case at == "later" && requests == 2:
-								// The next request is on its way when the bytes come.
+								// The bytes arrive after the next request was sent.
 								answer(c, r, framing, bytes, "")
 							default:
 								answer(c, r, framing, "", "")
