--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -46,6 +46,8 @@
 	// subnet holds the first three bytes of the addresses of this run.
 	subnet     string
 	keeperPort int
+	// realEngines makes engines start empty after a crash and carry out orders.
+	realEngines bool
 
 	mu       sync.Mutex
 	nextHost int
@@ -293,8 +295,8 @@
 			{Name: deskService, HealthPath: "/healthz", MaxConns: 100},
 			{Name: annexService, HealthPath: "/healthz", MaxConns: 100},
 			{Name: modelsService, HealthPath: "/healthz", MaxConns: 360, Engine: &stub.Engine{
-				Slots: 64, CacheTokens: 231707, WeightsMB: 220000, AdapterSlots: 5, LoadsPerS: 2.1,
-				Models: []stub.Model{{Name: modelName, WeightsMB: 65100, LoadS: 5, WarmS: 0.38, DiskS: 1}},
+				Slots: 64, CacheTokens: 231707, WeightsMB: 220000, AdapterSlots: adapterSlots, LoadsPerS: 2.1,
+				Models: []stub.Model{{Name: modelName, WeightsMB: 65100, AdapterMB: 12, Adapters: 57, LoadS: 5, WarmS: 0.38, DiskS: 1}},
 			}},
 		},
 		Routes: []stub.Route{
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	"forget":  forgetCase,
 	"refused": refusedCase,
 	"joined":  joinedCase,
+	"late":    lateCase,
 }
 
 func main() {
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -24,6 +24,7 @@
 	headerSeal           = "X-Chervilhead-Response-Seal"
 	headerNotRun         = "X-Chervilhead-Not-Executed"
 	headerExpectInstance = "X-Chervilhead-Expect-Instance"
+	headerModel          = "X-Chervilhead-Model"
 	headerInstance       = "X-Chervilhead-Instance-Id"
 )
 
@@ -54,6 +55,8 @@
 	work                   time.Duration
 	slots                  chan struct{}
 	waiting                atomic.Int64
+	// engine is nil for a plain service, and for an engine that always holds the model.
+	engine *engine
 
 	mu    sync.Mutex
 	lives int
@@ -84,6 +87,9 @@
 		slots = engineSlots
 	}
 	r := &runner{f: f, name: name, service: service, address: fmt.Sprintf("%s:%d", host, port), work: plainWork, version: oldVersion, slots: make(chan struct{}, slots), conns: map[net.Conn]struct{}{}}
+	if service == modelsService && f.realEngines {
+		r.engine = &engine{r: r, resident: true}
+	}
 	f.mu.Lock()
 	f.runners = append(f.runners, r)
 	f.mu.Unlock()
@@ -110,7 +116,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.mu.Lock()
-	r.lives++
+	if r.lives++; r.lives > 1 && r.engine != nil {
+		r.engine.restart()
+	}
 	if !r.keepsID {
 		r.id = fmt.Sprintf("i-%s-%d", r.name, r.lives)
 	}
@@ -158,7 +166,7 @@
 	}
 	reg := stub.Registration{Service: r.service, Address: r.address, Zone: "east", Slots: cap(r.slots), State: stub.StateReady, Born: r.born, SoftwareVersion: r.version}
 	if r.service == modelsService {
-		reg.Models = []stub.Resident{{Name: modelName, Version: 1, Adapters: []string{}}}
+		reg.Models, reg.Sequence, _ = r.held()
 	}
 	r.f.store.Register(r.id, reg)
 }
@@ -233,6 +241,10 @@
 		r.report(w, born)
 		return
 	case "/order":
+		if r.engine != nil {
+			r.engine.serveOrder(w, in, id)
+			return
+		}
 		// The engine holds all models, so that there is nothing to order.
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -251,6 +263,10 @@
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.engine != nil && !r.engine.holds(in.Header.Get(headerModel)) {
+		reject(http.StatusMisdirectedRequest)
+		return
+	}
 	if !r.takeSlot(in.Context()) {
 		reject(http.StatusServiceUnavailable)
 		return
@@ -311,14 +327,24 @@
 }
 
 func (r *runner) report(w http.ResponseWriter, born int64) {
+	models, sequence, busy := r.held()
 	out := stub.Report{
-		Models: []stub.Resident{{Name: modelName, Version: 1, Adapters: []string{}}}, Running: len(r.slots), CacheTokens: 231707,
-		State: stub.StateReady, Born: born, Pending: []string{}, Runs: [][]any{}, Available: stub.Available{InMemory: []string{modelName}, OnDisk: []string{modelName}},
+		Models: models, Sequence: sequence, Busy: busy, Running: len(r.slots), CacheTokens: 231707,
+		State: stub.StateReady, Born: born, Pending: []string{}, Runs: [][]any{}, Available: stub.Available{InMemory: []string{}, OnDisk: []string{modelName}},
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// held returns what an engine holds, its count of orders and whether one is in progress.
+func (r *runner) held() (models []stub.Resident, sequence int64, busy bool) {
+	if r.engine == nil {
+		return []stub.Resident{{Name: modelName, Version: 1, Adapters: []string{}}}, 0, false
+	}
+	sequence, busy = r.engine.state()
+	return r.engine.models(), sequence, busy
+}
+
 // allRuns returns the runs of all runners.
 func (f *fleet) allRuns() []run {
 	f.mu.Lock()
--- a/review/rig/stream.go
+++ b/review/rig/stream.go
@@ -18,6 +18,23 @@
 	newVersion = "2"
 )
 
+const (
+	// streamDeadline is how long a client waits for a stream.
+	streamDeadline = 12 * time.Second
+	// shortStream is the time of a stream of an adapter.
+	shortStream = time.Second
+	// tokensPerEvent is the number of tokens that an event holds.
+	tokensPerEvent = 5
+)
+
+// eventsOf returns the length of the streams of a model or an adapter.
+func eventsOf(model string) int {
+	if strings.Contains(model, "/") {
+		return int(shortStream / streamPause)
+	}
+	return streamEvents
+}
+
 // serveStream sends the events of a run that follow the last one that the caller has.
 func (r *runner) serveStream(w http.ResponseWriter, in *http.Request, instance, version, reqID string) {
 	from := 0
@@ -33,7 +50,8 @@
 	w.Header().Set(headerSeal, seal(reqID, nil))
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
-	for n := from + 1; n <= streamEvents; n++ {
+	events := eventsOf(in.Header.Get(headerModel))
+	for n := from + 1; n <= events; n++ {
 		t := time.NewTimer(streamPause)
 		select {
 		case <-t.C:
@@ -42,7 +60,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		last := ""
-		if n == streamEvents {
+		if n == events {
 			last = " end"
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s%s\n\n", n, version, instance, last); err != nil {
@@ -65,7 +83,11 @@
 
 // stream sends a request for a stream and reads its events.
 func (c *client) stream(g *proc, name string) stream {
-	const deadline = 12 * time.Second
+	return c.streamOf(g, modelName, name, streamDeadline)
+}
+
+// streamOf sends a request for a stream of a model or adapter and reads its events.
+func (c *client) streamOf(g *proc, model, name string, deadline time.Duration) stream {
 	s := stream{id: fmt.Sprintf("%08x-%d", rand.Uint32(), requests.Add(1))}
 	if c.conn != nil && c.conn.RemoteAddr().String() != g.callers {
 		c.drop()
@@ -82,8 +104,8 @@
 	defer func() {
 		c.f.rec.add("%s answered: status %d, %d events of versions %v from %v, complete: %v", s.id, s.status, s.events, s.versions, s.runners, s.complete)
 	}()
-	_, err := fmt.Fprintf(c.conn, "POST /chat/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nX-Chervilhead-Model: %s\r\nX-Chervilhead-Token-Count: 900,200\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\nContent-Length: %d\r\n\r\n%s",
-		name, routeHost, headerID, s.id, headerDeadline, deadline.Milliseconds(), modelName, requests.Load(), len(name), name)
+	_, err := fmt.Fprintf(c.conn, "POST /chat/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nX-Chervilhead-Model: %s\r\nX-Chervilhead-Token-Count: 900,%d\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\nContent-Length: %d\r\n\r\n%s",
+		name, routeHost, headerID, s.id, headerDeadline, deadline.Milliseconds(), model, tokensPerEvent*eventsOf(model), requests.Load(), len(name), name)
 	if err != nil {
 		c.drop()
 		return s
