--- a/review/rig/case_joined.go
+++ b/review/rig/case_joined.go
@@ -46,7 +46,7 @@
 						return
 					default:
 					}
-					s := c.stream(g, fmt.Sprintf("%s-%d-%d", g.name, n, i))
+					s := c.stream(g, newStream(modelName, fmt.Sprintf("%s-%d-%d", g.name, n, i), streamDeadline))
 					mu.Lock()
 					streams = append(streams, s)
 					mu.Unlock()
--- a/review/rig/case_late.go
+++ b/review/rig/case_late.go
@@ -52,7 +52,7 @@
 				if adapter == "a5" && lastPaused.Load() {
 					continue
 				}
-				c.streamOf(g, modelName+"/"+adapter, adapter, streamDeadline)
+				c.stream(g, newStream(modelName+"/"+adapter, adapter, streamDeadline))
 			}
 		})
 	}
@@ -75,7 +75,7 @@
 	callers.Go(func() {
 		c := &client{f: f}
 		defer c.drop()
-		c.streamOf(f.gateways()[0], modelName+"/a6", "a6", briefDeadline)
+		c.stream(f.gateways()[0], newStream(modelName+"/a6", "a6", briefDeadline))
 	})
 	if trouble {
 		select {
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -18,6 +18,8 @@
 	f    *fleet
 	conn net.Conn
 	br   *bufio.Reader
+	// open is the channel of the newest stream.
+	open atomic.Pointer[net.Conn]
 	// served counts the answers on the channel.
 	served int
 }
@@ -35,6 +37,13 @@
 
 var requests atomic.Uint64
 
+// sever breaks the channel of the newest stream, as a link that fails does.
+func (c *client) sever() {
+	if conn := c.open.Load(); conn != nil && *conn != nil {
+		_ = (*conn).Close()
+	}
+}
+
 // request is one request of a client.
 type request struct {
 	method, path string
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -48,6 +48,8 @@
 	keeperPort int
 	// realEngines makes engines start empty after a crash and carry out orders.
 	realEngines bool
+	// twoVersions makes every second engine run the newer software.
+	twoVersions bool
 
 	mu       sync.Mutex
 	nextHost int
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	"burst":   burstCase,
 	"forget":  forgetCase,
 	"refused": refusedCase,
+	"resume":  resumeCase,
 	"joined":  joinedCase,
 	"late":    lateCase,
 }
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -87,6 +87,9 @@
 		slots = engineSlots
 	}
 	r := &runner{f: f, name: name, service: service, address: fmt.Sprintf("%s:%d", host, port), work: plainWork, version: oldVersion, slots: make(chan struct{}, slots), conns: map[net.Conn]struct{}{}}
+	if service == modelsService && f.twoVersions && len(f.serviceRunners(service))%2 == 1 {
+		r.version = newVersion
+	}
 	if service == modelsService && f.realEngines {
 		r.engine = &engine{r: r, resident: true}
 	}
--- a/review/rig/stream.go
+++ b/review/rig/stream.go
@@ -27,14 +27,6 @@
 	tokensPerEvent = 5
 )
 
-// eventsOf returns the length of the streams of a model or an adapter.
-func eventsOf(model string) int {
-	if strings.Contains(model, "/") {
-		return int(shortStream / streamPause)
-	}
-	return streamEvents
-}
-
 // serveStream sends the events of a run that follow the last one that the caller has.
 func (r *runner) serveStream(w http.ResponseWriter, in *http.Request, instance, version, reqID string) {
 	from := 0
@@ -50,7 +42,10 @@
 	w.Header().Set(headerSeal, seal(reqID, nil))
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
-	events := eventsOf(in.Header.Get(headerModel))
+	events, err := strconv.Atoi(in.URL.Query().Get("events"))
+	if err != nil {
+		events = streamEvents
+	}
 	for n := from + 1; n <= events; n++ {
 		t := time.NewTimer(streamPause)
 		select {
@@ -79,16 +74,36 @@
 	versions, runners []string
 	events            int
 	complete          bool
+	sentAt            time.Time
+	// last is the last event that the caller has.
+	last       int
+	retryAfter time.Duration
 }
 
-// stream sends a request for a stream and reads its events.
-func (c *client) stream(g *proc, name string) stream {
-	return c.streamOf(g, modelName, name, streamDeadline)
+// streamRequest is a request for a stream.
+type streamRequest struct {
+	model, name string
+	deadline    time.Duration
+	// events is the length of the stream.
+	events int
+	// resumes is the id of the attempt that got the first event, and lastEvent the last event that the
+	// caller has, if the request takes a stream up again.
+	resumes   string
+	lastEvent int
 }
 
-// streamOf sends a request for a stream of a model or adapter and reads its events.
-func (c *client) streamOf(g *proc, model, name string, deadline time.Duration) stream {
-	s := stream{id: fmt.Sprintf("%08x-%d", rand.Uint32(), requests.Add(1))}
+// newStream returns the request for a new stream of a model or an adapter.
+func newStream(model, name string, deadline time.Duration) streamRequest {
+	events := streamEvents
+	if strings.Contains(model, "/") {
+		events = int(shortStream / streamPause)
+	}
+	return streamRequest{model: model, name: name, deadline: deadline, events: events}
+}
+
+// stream sends a request for a stream and reads its events.
+func (c *client) stream(g *proc, q streamRequest) stream {
+	s := stream{id: fmt.Sprintf("%08x-%d", rand.Uint32(), requests.Add(1)), sentAt: time.Now(), last: q.lastEvent}
 	if c.conn != nil && c.conn.RemoteAddr().String() != g.callers {
 		c.drop()
 	}
@@ -99,13 +114,19 @@
 		}
 		c.conn, c.br = conn, bufio.NewReader(conn)
 	}
-	_ = c.conn.SetDeadline(time.Now().Add(deadline + 500*time.Millisecond))
-	c.f.rec.add("%s sent to %s: stream %s", s.id, g.name, name)
+	conn := c.conn
+	c.open.Store(&conn)
+	_ = c.conn.SetDeadline(time.Now().Add(q.deadline + 500*time.Millisecond))
+	c.f.rec.add("%s sent to %s: stream %s after event %d of %q", s.id, g.name, q.name, q.lastEvent, q.resumes)
 	defer func() {
 		c.f.rec.add("%s answered: status %d, %d events of versions %v from %v, complete: %v", s.id, s.status, s.events, s.versions, s.runners, s.complete)
 	}()
-	_, err := fmt.Fprintf(c.conn, "POST /chat/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nX-Chervilhead-Model: %s\r\nX-Chervilhead-Token-Count: 900,%d\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\nContent-Length: %d\r\n\r\n%s",
-		name, routeHost, headerID, s.id, headerDeadline, deadline.Milliseconds(), model, tokensPerEvent*eventsOf(model), requests.Load(), len(name), name)
+	resumption := ""
+	if q.resumes != "" {
+		resumption = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", q.resumes, q.lastEvent)
+	}
+	_, err := fmt.Fprintf(c.conn, "POST /chat/%s?events=%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s%s: %s\r\nX-Chervilhead-Token-Count: 900,%d\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\nContent-Length: %d\r\n\r\n%s",
+		q.name, q.events, routeHost, headerID, s.id, headerDeadline, q.deadline.Milliseconds(), resumption, headerModel, q.model, tokensPerEvent*q.events, requests.Load(), len(q.name), q.name)
 	if err != nil {
 		c.drop()
 		return s
@@ -117,9 +138,13 @@
 	}
 	defer resp.Body.Close()
 	s.status = resp.StatusCode
+	s.retryAfter, _ = time.ParseDuration(resp.Header.Get("Retry-After") + "s")
 	lines := bufio.NewScanner(resp.Body)
 	ended := false
 	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			s.last, _ = strconv.Atoi(id)
+		}
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
 			continue
@@ -137,7 +162,7 @@
 			s.runners = append(s.runners, fields[1])
 		}
 	}
-	s.complete = lines.Err() == nil && ended && s.events == streamEvents
+	s.complete = lines.Err() == nil && ended && s.last == q.events
 	if lines.Err() != nil || resp.Close {
 		c.drop()
 	}
