review: unreadable rows keep the runners' list from being read over a slow link (RECOVER)

A page that takes longer than the 0.7 s of a call is asked for again without end. Twelve rows of 64 KB do that on a link of 10 Mbit/s.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -50,6 +50,8 @@
 	realEngines bool
 	// twoVersions makes every second engine run the newer software.
 	twoVersions bool
+	// linkMbps, if set, is the rate of each gateway's link to the store.
+	linkMbps float64
 
 	mu       sync.Mutex
 	nextHost int
@@ -98,7 +100,9 @@
 	// callers and ready are the addresses of a gateway.
 	callers, ready string
 	listener       *stub.Listener
-	settings       func(first bool) string
+	// link is nil unless the gateway's link has a rate.
+	link     *link
+	settings func(first bool) string
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -115,6 +119,14 @@
 	if err != nil {
 		return nil, err
 	}
+	storeAddress := l.Address
+	var k *link
+	if f.linkMbps > 0 {
+		if k, err = newLink(l.Address, f.linkMbps); err != nil {
+			return nil, err
+		}
+		storeAddress = k.address()
+	}
 	var ports []int
 	for range 3 {
 		port, err := freePort(host)
@@ -123,7 +135,7 @@
 		}
 		ports = append(ports, port)
 	}
-	p := &proc{f: f, role: "gateway", listener: l, callers: fmt.Sprintf("%s:%d", host, ports[0]), ready: fmt.Sprintf("%s:%d", host, ports[1])}
+	p := &proc{f: f, role: "gateway", listener: l, link: k, callers: fmt.Sprintf("%s:%d", host, ports[0]), ready: fmt.Sprintf("%s:%d", host, ports[1])}
 	p.name = fmt.Sprintf("frontend-%d", len(f.gateways())+1)
 	p.settings = func(first bool) string {
 		firstStart := ""
@@ -132,7 +144,7 @@
 		}
 		return fmt.Sprintf("role: gateway\nid: %q\nfailure_domain: \"east\"\nlisten:\n  callers: %q\n  ready: %q\n  metrics: \"%s:9464\"\n  datagrams: \"%s:%d\"\nkeeper_port: %d\nstore:\n  address: %q\n"+
 			"retries:\n  ratio: 0.2\n  slack: 54\n  window: 10s\n%sloads:\n  window: 5s\nleave:\n  grace: 8s\n  unready: 2500ms\nresources:\n  memory_mb: %d\nlog_level: info\nramp: true\n",
-			p.name, p.callers, p.ready, host, host, ports[2], f.keeperPort, l.Address, firstStart, memoryMB)
+			p.name, p.callers, p.ready, host, host, ports[2], f.keeperPort, storeAddress, firstStart, memoryMB)
 	}
 	return p, f.launch(p)
 }
@@ -275,6 +287,9 @@
 		}
 		p.mu.Unlock()
 		p.listener.Close()
+		if p.link != nil {
+			p.link.close()
+		}
 	}
 	for _, r := range runners {
 		r.close()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"burst":   burstCase,
 	"forget":  forgetCase,
+	"odd":     oddCase,
 	"refused": refusedCase,
 	"resume":  resumeCase,
 	"joined":  joinedCase,
