--- a/review/rig/case_burst.go
+++ b/review/rig/case_burst.go
@@ -15,8 +15,8 @@
 	// uploadRate is the calm rate of uploads a second at each gateway.
 	uploadRate = 9.5
 	// burstFactor and burstTime are the dose of the burst.
-	burstFactor = 2.4
-	burstTime   = 6800 * time.Millisecond
+	burstFactor = 2.6
+	burstTime   = 5100 * time.Millisecond
 	calmTime    = 12 * time.Second
 	afterTime   = 8 * time.Second
 	// maxClosed is the number of kept channels that may be closed without an answer.
--- a/review/rig/case_joined.go
+++ b/review/rig/case_joined.go
@@ -14,7 +14,7 @@
 	// streamEvents and streamPause are the length and the pace of a stream.
 	streamEvents = 40
 	streamPause  = 100 * time.Millisecond
-	// crashTime is how long a crashed engine is down.
+	// crashTime is how long a crashed runner is down.
 	crashTime = 4500 * time.Millisecond
 	// streamCallers is the number of callers of each gateway.
 	streamCallers = 48
@@ -25,11 +25,11 @@
 // on its machine jumped back between its last two starts. Later two others crash, one
 // after the other.
 func joinedCase(f *fleet, trouble bool) (bool, error) {
-	if err := f.deploy(2, 2, 0, 6); err != nil {
+	if err := f.deploy(2, 2, 0, 2, 6); err != nil {
 		return false, err
 	}
-	engines := f.serviceRunners(modelsService)
-	target := engines[0]
+	talkers := f.serviceRunners(talkService)
+	target := talkers[0]
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	var mu sync.Mutex
@@ -46,7 +46,7 @@
 						return
 					default:
 					}
-					s := c.stream(g, newStream(modelName, fmt.Sprintf("%s-%d-%d", g.name, n, i), streamDeadline))
+					s := c.stream(g, newStream("", fmt.Sprintf("%s-%d-%d", g.name, n, i), streamDeadline))
 					mu.Lock()
 					streams = append(streams, s)
 					mu.Unlock()
@@ -75,7 +75,7 @@
 		target.setClock(0)
 	}
 	time.Sleep(12 * time.Second)
-	for _, victim := range engines[1:3] {
+	for _, victim := range talkers[1:3] {
 		victim.crash()
 		time.Sleep(crashTime)
 		if err := victim.start(); err != nil {
--- a/review/rig/case_late.go
+++ b/review/rig/case_late.go
@@ -21,7 +21,6 @@
 // order gets no answer and is carried out late, and the machine of the engine and its keeper loses power
 // in between. The engine starts again under its id.
 func lateCase(f *fleet, trouble bool) (bool, error) {
-	f.realEngines = true
 	if err := f.deploy(2, 2, 0, 1); err != nil {
 		return false, err
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -35,6 +35,7 @@
 	deskService   = "desk"
 	annexService  = "annex"
 	modelsService = "models"
+	talkService   = "talk"
 	modelName     = "m0"
 )
 
@@ -46,8 +47,6 @@
 	// subnet holds the first three bytes of the addresses of this run.
 	subnet     string
 	keeperPort int
-	// realEngines makes engines start empty after a crash and carry out orders.
-	realEngines bool
 	// twoVersions makes every second engine run the newer software.
 	twoVersions bool
 	// linkMbps, if set, is the rate of each gateway's link to the store.
@@ -311,6 +310,7 @@
 		Services: []stub.Service{
 			{Name: deskService, HealthPath: "/healthz", MaxConns: 100},
 			{Name: annexService, HealthPath: "/healthz", MaxConns: 100},
+			{Name: talkService, HealthPath: "/healthz", MaxConns: 360},
 			{Name: modelsService, HealthPath: "/healthz", MaxConns: 360, Engine: &stub.Engine{
 				Slots: 64, CacheTokens: 231707, WeightsMB: 220000, AdapterSlots: adapterSlots, LoadsPerS: 2.1,
 				Models: []stub.Model{{Name: modelName, WeightsMB: 65100, AdapterMB: 12, Adapters: 57, LoadS: 5, WarmS: 0.38, DiskS: 1}},
@@ -321,19 +321,24 @@
 			{Name: "post", Host: routeHost, Prefix: "/post/", Kind: stub.KindOnce, TimeoutMS: 1500, ObjectiveMS: 300, Priority: 2, Service: deskService, MaxAttempts: 1},
 			{Name: "roster", Host: routeHost, Prefix: "/roster/", Kind: stub.KindIdempotent, TimeoutMS: 12000, ObjectiveMS: 5000, Priority: 1, Service: deskService, MaxAttempts: 2},
 			{Name: "chat", Host: routeHost, Prefix: "/chat/", Kind: stub.KindStream, TimeoutMS: 12000, ObjectiveMS: 5000, GapObjectiveMS: 400, Priority: 1, Service: modelsService, MaxAttempts: 2, Resumable: true},
+			{Name: "talk", Host: routeHost, Prefix: "/talk/", Kind: stub.KindStream, TimeoutMS: 12000, ObjectiveMS: 5000, GapObjectiveMS: 400, Priority: 1, Service: talkService, MaxAttempts: 2, Resumable: true},
 		},
 	}
 }
 
 // deploy starts a small deployment and waits until it serves.
-func (f *fleet) deploy(gateways, desks, annexes, engines int) error {
+func (f *fleet) deploy(gateways, desks, annexes, engines int, talkers ...int) error {
 	f.store.Configure(baseConfig())
 	port, err := freePort(f.subnet + ".1")
 	if err != nil {
 		return err
 	}
 	f.keeperPort = port
-	for service, n := range map[string]int{deskService: desks, annexService: annexes, modelsService: engines} {
+	counts := map[string]int{deskService: desks, annexService: annexes, modelsService: engines}
+	for _, n := range talkers {
+		counts[talkService] = n
+	}
+	for service, n := range counts {
 		for i := range n {
 			if _, err := f.addRunner(service, fmt.Sprintf("%s-%d", service, i+1)); err != nil {
 				return err
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -55,7 +55,7 @@
 	work                   time.Duration
 	slots                  chan struct{}
 	waiting                atomic.Int64
-	// engine is nil for a plain service, and for an engine that always holds the model.
+	// engine is nil for a plain service.
 	engine *engine
 
 	mu    sync.Mutex
@@ -83,14 +83,14 @@
 		return nil, err
 	}
 	slots := plainSlots
-	if service == modelsService {
+	if service == modelsService || service == talkService {
 		slots = engineSlots
 	}
 	r := &runner{f: f, name: name, service: service, address: fmt.Sprintf("%s:%d", host, port), work: plainWork, version: oldVersion, slots: make(chan struct{}, slots), conns: map[net.Conn]struct{}{}}
 	if service == modelsService && f.twoVersions && len(f.serviceRunners(service))%2 == 1 {
 		r.version = newVersion
 	}
-	if service == modelsService && f.realEngines {
+	if service == modelsService {
 		r.engine = &engine{r: r, resident: true}
 	}
 	f.mu.Lock()
@@ -248,9 +248,6 @@
 			r.engine.serveOrder(w, in, id)
 			return
 		}
-		// The engine holds all models, so that there is nothing to order.
-		w.WriteHeader(http.StatusConflict)
-		return
 	}
 	body, err := io.ReadAll(in.Body)
 	if err != nil {
@@ -262,6 +259,10 @@
 		w.Header().Set(headerNotRun, "1")
 		w.WriteHeader(status)
 	}
+	if reqID == "" {
+		reject(http.StatusBadRequest)
+		return
+	}
 	if want := in.Header.Get(headerExpectInstance); want != "" && want != id {
 		reject(http.StatusMisdirectedRequest)
 		return
@@ -270,6 +271,9 @@
 		reject(http.StatusMisdirectedRequest)
 		return
 	}
+	ctx, cancel := withDeadline(in)
+	defer cancel()
+	in = in.WithContext(ctx)
 	if !r.takeSlot(in.Context()) {
 		reject(http.StatusServiceUnavailable)
 		return
@@ -289,7 +293,7 @@
 		time.AfterFunc(2*time.Second, func() { _ = r.start() })
 		return
 	}
-	if r.service == modelsService {
+	if r.service == modelsService || r.service == talkService {
 		r.serveStream(w, in, id, version, reqID)
 		return
 	}
@@ -298,6 +302,8 @@
 	select {
 	case <-t.C:
 	case <-in.Context().Done():
+		w.Header().Set(headerSeal, seal(reqID, nil))
+		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
 	out := []byte(strings.Repeat("answer to "+reqID+"\n", 20))
@@ -306,6 +312,15 @@
 	_, _ = w.Write(out)
 }
 
+// withDeadline returns a context that ends with the caller, or at the deadline that it names.
+func withDeadline(in *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(in.Header.Get(headerDeadline), 10, 64)
+	if err != nil {
+		return context.WithCancel(in.Context())
+	}
+	return context.WithTimeout(in.Context(), time.Duration(ms)*time.Millisecond)
+}
+
 // workTime returns the time of a run: the runner's, or what the path's query says.
 func (r *runner) workTime(in *http.Request) time.Duration {
 	if ms, err := strconv.Atoi(in.URL.Query().Get("work")); err == nil {
@@ -341,9 +356,6 @@
 
 // held returns what an engine holds, its count of orders and whether one is in progress.
 func (r *runner) held() (models []stub.Resident, sequence int64, busy bool) {
-	if r.engine == nil {
-		return []stub.Resident{{Name: modelName, Version: 1, Adapters: []string{}}}, 0, false
-	}
 	sequence, busy = r.engine.state()
 	return r.engine.models(), sequence, busy
 }
--- a/review/rig/stream.go
+++ b/review/rig/stream.go
@@ -92,7 +92,8 @@
 	lastEvent int
 }
 
-// newStream returns the request for a new stream of a model or an adapter.
+// newStream returns the request for a new stream of a model or an adapter, or of the plain service if it
+// names none.
 func newStream(model, name string, deadline time.Duration) streamRequest {
 	events := streamEvents
 	if strings.Contains(model, "/") {
@@ -125,8 +126,13 @@
 	if q.resumes != "" {
 		resumption = fmt.Sprintf("Resumes: %s\r\nLast-Event-Id: %d\r\n", q.resumes, q.lastEvent)
 	}
-	_, err := fmt.Fprintf(c.conn, "POST /chat/%s?events=%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s%s: %s\r\nX-Chervilhead-Token-Count: 900,%d\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\nContent-Length: %d\r\n\r\n%s",
-		q.name, q.events, routeHost, headerID, s.id, headerDeadline, q.deadline.Milliseconds(), resumption, headerModel, q.model, tokensPerEvent*q.events, requests.Load(), len(q.name), q.name)
+	prefix, model := "talk", ""
+	if q.model != "" {
+		prefix = "chat"
+		model = fmt.Sprintf("%s: %s\r\nX-Chervilhead-Token-Count: 900,%d\r\nX-Chervilhead-Prompt-Prefix: aa:200,%x:700\r\n", headerModel, q.model, tokensPerEvent*q.events, requests.Load())
+	}
+	_, err := fmt.Fprintf(c.conn, "POST /%s/%s?events=%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s%sContent-Length: %d\r\n\r\n%s",
+		prefix, q.name, q.events, routeHost, headerID, s.id, headerDeadline, q.deadline.Milliseconds(), resumption, model, len(q.name), q.name)
 	if err != nil {
 		c.drop()
 		return s
