--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -31,6 +31,16 @@
 	Skipped []error
 	// Clock is the store's time at which the answer held.
 	Clock clock.Sample
+	// Cost is what reading the answer took.
+	Cost ReadCost
+}
+
+// ReadCost is what it took to read one answer.
+type ReadCost struct {
+	// Bytes is the length of the answer.
+	Bytes int
+	// Transfer is the time from the answer's head to its last byte, and Decode that of decoding it.
+	Transfer, Decode time.Duration
 }
 
 // EndpointChange is the store's answer to a read of the endpoints.
@@ -207,7 +217,7 @@
 		}
 		news := false
 		w.update(func(v *View) {
-			news = w.takeConfig(v, ch, logrus.Fields{"source": "store", "version": ch.Version.String(), "full": ch.Full})
+			news = w.takeConfig(v, ch, logrus.Fields{"source": "store", "version": ch.Version.String(), "full": ch.Full, "bytes": ch.Cost.Bytes, "transfer_ms": ch.Cost.Transfer.Milliseconds(), "decode_ms": ch.Cost.Decode.Milliseconds()})
 			v.ConfigConfirmedAt = time.Now()
 			w.prover.proveByAnswer(v, ch.Clock, w.timing.Elapsed())
 		})
@@ -320,20 +330,26 @@
 	}
 }
 
-// outageLog logs the start and the end of an outage of the store.
+// outageLog logs the start and the end of an outage of the store, and failures in between.
 type outageLog struct {
-	name  string
-	since time.Time
-	log   *logrus.Entry
+	name     string
+	since    time.Time
+	failures int
+	log      *logrus.Entry
 }
 
 func (l *outageLog) record(ctx context.Context, err error) {
 	switch {
 	case err != nil && ctx.Err() == nil && l.since.IsZero():
-		l.since = time.Now()
+		l.since, l.failures = time.Now(), 1
 		l.log.WithError(err).WithField("what", l.name).Warn("the store does not answer; the last view stays in force")
+	case err != nil && ctx.Err() == nil:
+		// Each line doubles the count, so that a long outage has few of them.
+		if l.failures++; l.failures&(l.failures-1) == 0 {
+			l.log.WithError(err).WithFields(logrus.Fields{"what": l.name, "failures": l.failures, "away": time.Since(l.since).String()}).Warn("the store still does not answer")
+		}
 	case err == nil && !l.since.IsZero():
-		l.log.WithFields(logrus.Fields{"what": l.name, "away": time.Since(l.since).String()}).Info("the store answers again")
+		l.log.WithFields(logrus.Fields{"what": l.name, "failures": l.failures, "away": time.Since(l.since).String()}).Info("the store answers again")
 		l.since = time.Time{}
 	}
 }
