--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -203,10 +203,21 @@
 }
 
 // AddRoute writes a new version of the configuration with one more route and returns its name.
-func (env *Environment) AddRoute() string {
+func (env *Environment) AddRoute() string { return env.AddRoutes(0) }
+
+// AddRoutes writes a new version of the configuration with a number of routes that nobody uses, and
+// with one more route, whose name it returns.
+func (env *Environment) AddRoutes(unused int) string {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.config.Version += 3
+	env.config.Routes = slices.Clip(env.config.Routes)
+	for i := range unused {
+		name := fmt.Sprintf("unused%d-%d", env.config.Version, i)
+		env.config.Routes = append(env.config.Routes, stub.Route{
+			Name: name, Host: "unused.example", Prefix: "/" + name + "/", Kind: stub.KindIdempotent, TimeoutMS: 12000, ObjectiveMS: 5000, Service: otherService, MaxAttempts: 2,
+		})
+	}
 	name := "new" + strconv.FormatUint(env.config.Version, 10)
 	env.config.Routes = append(env.config.Routes[:len(env.config.Routes):len(env.config.Routes)], stub.Route{
 		Name: name, Host: RouteHost, Prefix: "/" + name + "/", Kind: stub.KindIdempotent, TimeoutMS: 2000, ObjectiveMS: 300, Service: otherService, MaxAttempts: 3,
