watch: a configuration that is arriving is neither read anew nor from elsewhere besides

Callers saw (CONFIG): a change was late, or never in force, at gateways of 10 and 25 Mbit/s. Cause: what should help got in the way. A gateway that was told of a newer version cancelled the read that was receiving one, and 0.4 s later read it from the other gateway besides, over the same link, where both then ended for lack of time.

The store's client says when bytes of an answer arrive; while they do, and while the answer is decoded, the read goes on alone. Once they stop for 0.4 s both ways are open again.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -41,6 +41,9 @@
 // observing process needs a pause and a store call for its next one, which should arrive first.
 const observationWaitFactor = 1.3
 
+// arrivalStall is the time without further bytes after which an answer is no longer taken to arrive.
+const arrivalStall = 400 * time.Millisecond
+
 // errReadRestarted means that a read of the configuration was cancelled to start a new one.
 var errReadRestarted = errors.New("the read of the configuration was cancelled; read again")
 
@@ -145,12 +148,21 @@
 
 // readConfig waits for a change of the configuration. While other processes confirm the
 // current version the long poll may last OwnReadInterval. It is cancelled, because its
-// connection may be dead, once they observe a newer version or stop confirming this one.
+// connection may be dead, once they observe a newer version or stop confirming this one, but not
+// while an answer arrives: a new read would have to begin it anew.
 func (w *Watcher) readConfig(ctx context.Context, version store.Version) (ConfigChange, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := context.WithCancelCause(store.WithArrival(ctx, &w.configArrival))
 	defer cancel(nil)
+	defer w.configArrival.Reset()
+	restart := func() {
+		if w.configArrival.Continues(arrivalStall) {
+			w.rereadDue.Store(true)
+			return
+		}
+		cancel(errReadRestarted)
+	}
 	w.mu.Lock()
-	w.restartConfigRead = func() { cancel(errReadRestarted) }
+	w.restartConfigRead = restart
 	w.configReadBegan = time.Now()
 	wait := w.prover.readWait(w.timing.ConfigWait, w.timing.Elapsed())
 	w.mu.Unlock()
@@ -160,7 +172,7 @@
 			for ctx.Err() == nil {
 				sleep(ctx, w.timing.ConfigWait)
 				if !w.configObserved(time.Now()) {
-					cancel(errReadRestarted)
+					restart()
 				}
 			}
 		}()
@@ -168,7 +180,7 @@
 			for w.timing.MaxProofAge > 0 && ctx.Err() == nil {
 				sleep(ctx, w.timing.EndpointPoll)
 				if w.configReadDue() {
-					cancel(errReadRestarted)
+					restart()
 				}
 			}
 		}()
--- a/internal/coordination/watch/relay.go
+++ b/internal/coordination/watch/relay.go
@@ -9,18 +9,14 @@
 
 // Relay reads the configuration that another process has in force.
 type Relay interface {
-	// ReadConfig returns the configuration of the process at an address as the store held it.
+	// ReadConfig returns the configuration of the process at an address as the store held it; it ends
+	// by itself once no more of it arrives.
 	ReadConfig(ctx context.Context, address string) ([]byte, error)
 }
 
-const (
-	// relayDelay is the time in which the store should have answered with a configuration that
-	// another process already has; it answers in milliseconds, and 60 times as slowly at worst.
-	relayDelay = 400 * time.Millisecond
-	// relayTimeout bounds a read from another process. Its next announcement, 0.6 s after the
-	// last, starts another one.
-	relayTimeout = 500 * time.Millisecond
-)
+// relayDelay is the time in which the store should have begun to answer with a configuration that
+// another process already has; it answers in milliseconds, and 60 times as slowly at worst.
+const relayDelay = 400 * time.Millisecond
 
 // SetRelay sets the relay of configurations that the store doesn't hand out. It must be called
 // before Run.
@@ -53,6 +49,10 @@
 		w.mu.Lock()
 		v, from := w.view.Load(), w.relayFrom
 		w.mu.Unlock()
+		if w.configArrival.Continues(arrivalStall) {
+			// A second transfer over the same link would only delay the store's.
+			continue
+		}
 		if v.HasConfig && v.NewestConfig > v.Config.Version && ctx.Err() == nil {
 			w.readRelayed(ctx, from)
 		}
@@ -61,8 +61,6 @@
 
 // readRelayed reads the configuration of another process and takes it over if it is newer.
 func (w *Watcher) readRelayed(ctx context.Context, from string) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
 	data, err := w.relay.ReadConfig(ctx, from)
 	var ch ConfigChange
 	if err == nil {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -142,6 +142,10 @@
 	restartConfigRead func()
 	// configReadBegan is when that read began.
 	configReadBegan time.Time
+	// configArrival is that read's answer.
+	configArrival store.Arrival
+	// rereadDue is set if the read was to be restarted while its answer arrived.
+	rereadDue atomic.Bool
 	// restartedFor is the newest observed version that restarted the configuration read.
 	restartedFor uint64
 	// answered is closed, and replaced, each time the store answers a read of the endpoints.
@@ -202,8 +206,12 @@
 			version = 0
 			continue
 		}
+		reread := w.rereadDue.Swap(false)
 		outage.record(ctx, err)
 		if err != nil {
+			if reread {
+				version = 0
+			}
 			// The reads of the endpoints find out that the store answers again.
 			failures++
 			sleepUntil(ctx, w.timing.retryDelay(failures+1), answered)
@@ -224,6 +232,10 @@
 		if news {
 			w.logSkipped(ch)
 		}
+		if v := w.View(); reread && v.NewestConfig > v.Config.Version {
+			// The change may be older than the version read last, if the store was restored.
+			version = 0
+		}
 		if news || len(ch.DecodeErrors) > 0 || time.Since(asked) > w.timing.ConfigWait/2 {
 			continue
 		}
