node, proxy: requests late in a planned stop are answered, not cut off

Callers saw (LOST): in a planned stop, requests that came late in the grace were passed on and cut at its end with no answer, also ones that may not be repeated. Cause: a gateway that stops took requests like any other for as long as they came, on connections that Go's Shutdown leaves open, and closed everything when the time was up. With a grace below the 2.5 s for the load balancer it didn't even stop in time. Evidence: TestRequestsInGrace on the code before, 16 requests cut in graces of 2 and 4 s ('1 runs, unexpected EOF'), and 2.504 s for a grace of 2 s. In the deployments' 8 s only a connection opened 2.5 s into the stop and used 5 s later is left to it.

A request is now taken if its time limit ends before the last requests do, or, while the load balancer has yet to notice, if it can be expected to; else it is rejected as not run, at once. What still runs then gets its answer (504) before the connections are cut, both within the last sixth of the grace. A connection whose response didn't say that it closes is left open for the caller's next request (internal/transport/drain), which Shutdown closed under it: the case that TestGatewayShutdown may have met. TestRequestsInGrace passes (graces of 2, 4 and 8 s, 16 moments, new, unused and kept connections, three kinds of request).

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -23,6 +23,7 @@
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/budget"
 	"chervilhead/internal/transport/control"
+	"chervilhead/internal/transport/drain"
 	"chervilhead/internal/transport/httpd"
 	"chervilhead/internal/transport/proxy"
 	"chervilhead/internal/transport/relay"
@@ -69,16 +70,30 @@
 	// sweepInterval is the pause between evictions of idle connections and of what is kept for
 	// endpoints that are gone.
 	sweepInterval = time.Second
-	// shutdownMargin is what is left of the grace period when the last requests are cut off.
-	shutdownMargin = 500 * time.Millisecond
+	// A gateway that stops ends the last requests with a response when answerShare of the grace
+	// period is left, or maxAnswerMargin, and cuts off the last connections when cutShare of it is
+	// left, or maxCutMargin. Both are within the last sixth, so that no request loses more time.
+	answerShare     = 1.0 / 8
+	maxAnswerMargin = 750 * time.Millisecond
+	cutShare        = 1.0 / 12
+	maxCutMargin    = 500 * time.Millisecond
+	// maxDrainShare is the largest part of the grace period in which a gateway that stops still
+	// accepts connections.
+	maxDrainShare = 0.5
+	// quietTime is how long a connection has no request before a gateway that stops closes it. A
+	// caller that goes on at once after a response sends its next request within it.
+	quietTime = 500 * time.Millisecond
 )
 
 // Gateway is a running gateway process.
 type Gateway struct {
-	cfg    config.Gateway
-	log    *logrus.Entry
-	srv    *http.Server
-	health *httpd.Server
+	cfg config.Gateway
+	log *logrus.Entry
+	srv *http.Server
+	// listener and conns are those of srv.
+	listener net.Listener
+	conns    *drain.Conns
+	health   *httpd.Server
 	// metrics is nil if no address of its own is set or the address could not be opened.
 	metrics *httpd.Server
 	// relay serves the configuration to other gateways.
@@ -93,7 +108,7 @@
 // StartGateway opens the listeners of a gateway and starts its background tasks.
 func StartGateway(cfg config.Gateway, src PlatformStore, headers proxy.HeaderNames, reg *prometheus.Registry, log *logrus.Entry) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, log: log, cancel: cancel}
+	g := &Gateway{cfg: cfg, log: log, cancel: cancel, conns: drain.New()}
 	fail := func(err error) (*Gateway, error) {
 		cancel()
 		return nil, err
@@ -146,12 +161,13 @@
 	}
 	g.srv = &http.Server{
 		Handler: g.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(serverLog{log}, "", 0),
+		DisableGeneralOptionsHandler: true, ConnState: g.conns.Observe, ErrorLog: stdlog.New(serverLog{log}, "", 0),
 	}
+	g.listener = l
 	g.metrics = serveMetrics(cfg.Listen.Metrics, reg, log)
 	g.ready.Store(true)
 	g.wg.Go(func() {
-		if err := g.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := g.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.WithError(err).Error("server for callers failed")
 		}
 	})
@@ -183,22 +199,30 @@
 	return len(p), nil
 }
 
-// Stop fails readiness, goes on serving while the load balancer notices, and returns once
-// every request has ended or, shortly before the grace period ends, has been cut off.
+// Stop fails readiness, goes on serving while the load balancer notices, and returns once every
+// request has ended. Shortly before the grace period ends it answers those that still run.
 func (g *Gateway) Stop() {
 	began := time.Now()
+	grace := g.cfg.Shutdown.GracePeriod
+	share := func(s float64) time.Duration { return time.Duration(s * float64(grace)) }
+	drained := began.Add(min(g.cfg.Shutdown.DrainDelay, share(maxDrainShare)))
+	cutoff := began.Add(grace - min(maxAnswerMargin, share(answerShare)))
+	end := began.Add(grace - min(maxCutMargin, share(cutShare)))
 	g.ready.Store(false)
-	g.handler.Drain()
+	g.handler.Drain(proxy.Stop{UnreadyUntil: drained, Cutoff: cutoff})
 	g.plane.ResignPlanner()
 	g.log.Info("gateway stopping")
-	time.Sleep(g.cfg.Shutdown.DrainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), g.cfg.Shutdown.GracePeriod-shutdownMargin-time.Since(began))
+	time.Sleep(time.Until(drained))
+	if err := g.listener.Close(); err != nil {
+		g.log.WithError(err).Debug("could not close the listener for callers")
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := g.srv.Shutdown(ctx); err != nil {
-		g.log.WithError(err).Warn("grace period is over; cutting off the requests in flight")
-		if err := g.srv.Close(); err != nil {
-			g.log.WithError(err).Debug("could not close the server for callers")
-		}
+	if err := g.conns.Wait(ctx, quietTime); err != nil {
+		g.log.WithError(err).Warn("grace period is over; cutting off the connections that are left")
+	}
+	if err := g.srv.Close(); err != nil {
+		g.log.WithError(err).Debug("could not close the server for callers")
 	}
 	g.cancel()
 	g.health.Close()
--- a/internal/standin/testbed/client.go
+++ b/internal/standin/testbed/client.go
@@ -254,6 +254,12 @@
 	return conn, false, nil
 }
 
+// Connect opens the connection to a gateway that the next request uses.
+func (c *Client) Connect(gateway string) error {
+	_, _, err := c.conn(gateway)
+	return err
+}
+
 func (c *Client) drop(gateway string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -101,7 +101,11 @@
 	fingerprintKey []byte
 	quotaLog       quotaLog
 
-	draining  atomic.Bool
+	// stop is nil unless the gateway stops; cut ends cutCtx, and thereby all requests.
+	stop   atomic.Pointer[Stop]
+	cutCtx context.Context
+	cut    context.CancelCauseFunc
+
 	bodyBytes atomic.Int64
 }
 
@@ -111,6 +115,7 @@
 		cfg.Elapsed = lease.Elapsed
 	}
 	h := &Handler{cfg: cfg, view: view, control: control, pool: pool, tracker: newTracker(cfg.RetryBudget, cfg.FirstStart), poisonTracker: newPoisonTracker(), versions: newStreamVersions(), log: log, metrics: metrics, fingerprintKey: newFingerprintKey()}
+	h.cutCtx, h.cut = context.WithCancelCause(context.Background())
 	if cfg.Ramp {
 		h.tracker.ramps = newRamps(cfg.GatewayID, h.tracker.start, metrics.ramp, log)
 	}
@@ -123,9 +128,6 @@
 	return float64(h.cfg.Random.N(steps)) / steps
 }
 
-// Drain makes the handler close each client connection after its response.
-func (h *Handler) Drain() { h.draining.Store(true) }
-
 // TakeUsage returns the adapters used on an endpoint and the hashes of the shared prompt
 // prefixes that it has prefilled since the last call.
 func (h *Handler) TakeUsage(id string) (adapters []string, prefixes []uint64) {
@@ -247,7 +249,7 @@
 // ServeHTTP forwards one request and relays its response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	c := &call{id: in.Header.Get(h.cfg.Headers.RequestID), began: time.Now(), in: in, w: w, access: access{arrived: h.cfg.Elapsed()}}
-	if h.draining.Load() {
+	if h.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	// This also replaces the deadline of the connection's previous request.
@@ -273,7 +275,11 @@
 	if !h.authorize(c, v) {
 		return
 	}
-	deadline := c.began.Add(h.timeLimit(in, route) - responseMargin)
+	deadline, takes := h.takesUntil(c.began.Add(h.timeLimit(in, route) - responseMargin))
+	if !takes {
+		h.reject(c, "stopping", stoppingRetryAfter)
+		return
+	}
 	h.setWriteDeadline(c, deadline.Add(lateWriteTimeout))
 	h.findStream(c)
 	service, ok := v.Config.Service(h.pickService(c))
@@ -287,7 +293,7 @@
 	defer h.bodyBytes.Add(-int64(len(c.body)))
 
 	c.deadline = deadline
-	ctx, cancel := context.WithDeadlineCause(in.Context(), c.deadline, errTimeout)
+	ctx, cancel := h.callContext(c)
 	defer cancel()
 	c.ctx = ctx
 	c.req = h.parseRequest(c, service)
