proxy, watch: a resumption at a gateway out of step waits for the store's word

Cause: a gateway took the only version in its view for that of all streams, for 1.5 s after it was last confirmed, also when the keepers that hold the record were silent, or others than it believed.

Without a record the gateway now reads the endpoints once more before it goes on; with one it goes on where keepers report, or else where the store says. If nobody does, the request is rejected as not run.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -139,6 +139,9 @@
 			})
 		case <-t.C:
 			return reg, version
+		case <-w.reads.wanted:
+			t.Stop()
+			return reg, version
 		case <-ctx.Done():
 			t.Stop()
 			return reg, version
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -148,6 +148,8 @@
 	rereadDue atomic.Bool
 	// restartedFor is the newest observed version that restarted the configuration read.
 	restartedFor uint64
+	// reads lets callers wait for a read of the endpoints.
+	reads *readGate
 	// answered is closed, and replaced, each time the store answers a read of the endpoints.
 	answered chan struct{}
 	// relay is nil if configurations come from the store only. relayWanted is signalled when the
@@ -165,7 +167,7 @@
 	if timing.Elapsed == nil {
 		timing.Elapsed = lease.Elapsed
 	}
-	w := &Watcher{src: src, prover: prover{quarantine: restoreQuarantine * timing.EndpointPoll}, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), answered: make(chan struct{}), relayWanted: make(chan struct{}, 1)}
+	w := &Watcher{src: src, prover: prover{quarantine: restoreQuarantine * timing.EndpointPoll}, timing: timing, onChange: onChange, log: log, observations: make(chan Observation, 1), reads: newReadGate(), answered: make(chan struct{}), relayWanted: make(chan struct{}, 1)}
 	w.view.Store(&View{})
 	return w
 }
@@ -271,6 +273,8 @@
 	restores := restoreLog{name: "endpoints", log: w.log}
 	failures := 0
 	for ctx.Err() == nil {
+		w.reads.awaitTurn(ctx)
+		read := w.reads.begin()
 		ch, err := w.src.Endpoints(ctx, version)
 		outage.record(ctx, err)
 		if err != nil {
@@ -303,12 +307,13 @@
 		if w.onChange != nil {
 			w.onChange(v)
 		}
+		w.reads.apply(read)
 		pause := w.timing.EndpointPoll
 		if time.Since(began) < startupPeriod {
 			pause = min(pause, startupPoll)
 		}
 		if w.timing.OwnReadInterval <= 0 {
-			sleep(ctx, pause)
+			sleepUntil(ctx, pause, w.reads.wanted)
 			continue
 		}
 		reg, version = w.waitForRead(ctx, reg, version, pause)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -131,11 +131,12 @@
 	}
 	g.handler = proxy.New(proxy.Settings{
 		Headers: headers, GatewayID: cfg.ID, FailureDomain: cfg.FailureDomain, ConfigStaleAfter: configStaleAfter,
-		Revocation:  proxy.Revocation{Strict: cfg.Revocation.Strict, Bound: cfg.Revocation.Bound},
-		RetryBudget: budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
-		FirstStart:  cfg.Retries.FirstStart,
-		Ramp:        cfg.Ramp,
-		Quotas:      plane.Credits(),
+		Revocation:       proxy.Revocation{Strict: cfg.Revocation.Strict, Bound: cfg.Revocation.Bound},
+		RetryBudget:      budget.Limit{Ratio: cfg.Retries.Ratio, Slack: cfg.Retries.Slack, Window: cfg.Retries.Window},
+		FirstStart:       cfg.Retries.FirstStart,
+		Ramp:             cfg.Ramp,
+		ConfirmEndpoints: w.ConfirmEndpoints,
+		Quotas:           plane.Credits(),
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
--- a/internal/state/resume/decide.go
+++ b/internal/state/resume/decide.go
@@ -67,6 +67,9 @@
 	SettledVersion string
 }
 
+// Recorded reports whether a record tells which version began the stream.
+func (e Evidence) Recorded() bool { return e.Source == OwnRecord || e.Source == KeeperRecord }
+
 // Decision is what becomes of a resumption.
 type Decision interface{ decision() }
 
@@ -83,7 +86,7 @@
 // Decide returns at which version a stream continues. A record goes before the history even if
 // the service is settled, because another gateway may know a version that this one has yet to read.
 func Decide(e Evidence) Decision {
-	recorded := e.Source == OwnRecord || e.Source == KeeperRecord
+	recorded := e.Recorded()
 	switch {
 	case recorded && e.Record.Service == e.Service:
 		return Continue{e.Record.Version}
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -80,6 +80,9 @@
 	// Elapsed returns the local time on the clock of watch.View.ConfigProvenAt; nil stands for
 	// lease.Elapsed.
 	Elapsed func() time.Duration
+	// ConfirmEndpoints waits until the view holds what the store lists after the call began; nil
+	// means that the view is always of the present.
+	ConfirmEndpoints func(context.Context) error
 	// Ramp limits the requests to endpoints that have just started or recovered.
 	Ramp bool
 	// Quotas bounds what groups may use; nil bounds nothing.
@@ -190,9 +193,10 @@
 	order events.Order
 	// resumes is what is known of the stream that the request resumes, nil if it begins one.
 	resumes *resume.Evidence
-	// bound is set while only endpoints of the software version may get the request.
-	bound   bool
-	version string
+	// bound is set while only endpoints of the software version may get the request, and confirmed
+	// once the store has said since the request came which version each is of.
+	bound, confirmed bool
+	version          string
 	// sentAt is when the newest attempt was sent.
 	sentAt time.Time
 	// recordedAt is when the record of the request's stream was last put.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"slices"
 	"strings"
@@ -148,10 +149,16 @@
 	}
 	c.resumes.Service = c.req.Service
 	c.resumes.SettledVersion, c.resumes.Settled = h.settled(c.req.Service)
+	if c.resumes.Settled && !c.resumes.Recorded() {
+		// Another gateway may have begun the stream at a version that this one has yet to read.
+		c.confirmed = h.confirmEndpoints(c)
+		c.resumes.SettledVersion, c.resumes.Settled = h.settled(c.req.Service)
+		c.resumes.Settled = c.resumes.Settled && c.confirmed
+	}
 	switch d := resume.Decide(*c.resumes).(type) {
 	case resume.Continue:
 		c.bound, c.version = true, d.Version
-		if c.resumes.Source != resume.NoRecord && c.resumes.Source != resume.KeepersSilent {
+		if c.resumes.Recorded() {
 			// A caller that goes on trying must find the record when the service has settled.
 			h.putRecord(c, c.resumes.Record)
 		}
@@ -223,11 +230,42 @@
 
 // states returns the endpoints that may get a request.
 func (h *Handler) states(c *call) []fleet.State {
-	states := h.control.States()
 	if !c.bound {
+		return h.control.States()
+	}
+	states := h.boundStates(c)
+	if c.confirmed || h.cfg.ConfirmEndpoints == nil {
 		return states
 	}
-	return resume.AtVersion(states, c.req.Service, c.version, h.tracker.brokeAt, h.view().EndpointsConfirmedAt)
+	// An endpoint may have come back under its id with another version, which its keeper says, or
+	// else the store, as it says which others are of this version.
+	reported := slices.DeleteFunc(slices.Clone(states), func(s fleet.State) bool { return !s.StatusSupersedes })
+	if len(reported) > 0 {
+		return reported
+	}
+	if c.confirmed = h.confirmEndpoints(c); !c.confirmed {
+		return nil
+	}
+	return h.boundStates(c)
+}
+
+// boundStates returns the endpoints of a bound request's version.
+func (h *Handler) boundStates(c *call) []fleet.State {
+	return resume.AtVersion(h.control.States(), c.req.Service, c.version, h.tracker.brokeAt, h.view().EndpointsConfirmedAt)
+}
+
+// confirmTimeout bounds the wait for the store's word on the endpoints, which it gives in
+// milliseconds, and 60 times as slowly at worst.
+const confirmTimeout = 500 * time.Millisecond
+
+// confirmEndpoints reports whether the view now holds what the store lists after the call began.
+func (h *Handler) confirmEndpoints(c *call) bool {
+	if h.cfg.ConfirmEndpoints == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, confirmTimeout)
+	defer cancel()
+	return h.cfg.ConfirmEndpoints(ctx) == nil
 }
 
 // versionGone reports whether no endpoint is left that may get a bound request.
