watch, platform: a long list of endpoints is read once, then its changes

Callers saw: 503 no_endpoint at one of two gateways for 2 s after an endpoint registered beside 3.9 MB of other writers' rows (TestEndpointAfterOddRegistrations, traced: found at one gateway after 0.4 s, at the other after 2.0 s, alone on the machine). Cause: a gateway whose view another one confirms reads all registrations anew at the next change, since that is shorter than the heartbeats since its last read; a long list takes a second each time, and what registers while its pages are read has to wait for the next one.

TestLargeListReadOnce failed before (11 reads of 4 MB) and passes.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -41,6 +41,10 @@
 // observing process needs a pause and a store call for its next one, which should arrive first.
 const observationWaitFactor = 1.3
 
+// largeListBytes is the length of the list of endpoints from which the changes since the last own read
+// are read instead; the heartbeats of 200 endpoints in ownReadInterval take as much.
+const largeListBytes = 512 << 10
+
 // arrivalStall is the time without further bytes after which an answer is no longer taken to arrive.
 const arrivalStall = 400 * time.Millisecond
 
@@ -107,8 +111,9 @@
 // waitForRead waits until the next read of the endpoints is due: at once if another process
 // observed different ones, else after the pause, postponed while observations match. It
 // returns the registry with the time of the last matching observation, and the version to
-// read from. After a matching observation that is 0, all registrations, because the changes
-// up to the observed version were not read here.
+// read from. After a matching observation that is 0, all registrations, because the changes up to
+// the observed version were not read here: they are mostly heartbeats and take longer to read, unless
+// the list is large.
 func (w *Watcher) waitForRead(ctx context.Context, reg registry, version store.Version, pause time.Duration) (registry, store.Version) {
 	start := time.Now()
 	limit := start.Add(max(pause, w.timing.OwnReadInterval))
@@ -128,7 +133,10 @@
 				return reg, version
 			}
 			now := time.Now()
-			reg.confirmedAt, newest, version = now, obs.StoreVersion, 0
+			reg.confirmedAt, newest = now, obs.StoreVersion
+			if reg.listBytes < largeListBytes {
+				version = 0
+			}
 			// The observing process may be older than this one, and read less often.
 			if due = now.Add(time.Duration(observationWaitFactor * float64(w.timing.EndpointPoll))); due.After(limit) {
 				due = limit
--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -424,3 +424,51 @@
 		}
 	}
 }
+
+// largeStore is a store whose list of endpoints takes long to read.
+type largeStore struct {
+	*fakeStore
+	bytes     int
+	fullReads atomic.Int64
+}
+
+func (s *largeStore) Endpoints(ctx context.Context, after store.Version) (EndpointChange, error) {
+	ch, err := s.fakeStore.Endpoints(ctx, after)
+	if ch.Full {
+		s.fullReads.Add(1)
+		ch.Cost.Bytes = s.bytes
+	}
+	return ch, err
+}
+
+// TestLargeListReadOnce guards against a long list of endpoints that is read again for each change.
+func TestLargeListReadOnce(t *testing.T) {
+	for _, bytes := range []int{20 << 10, 4 << 20} {
+		synctest.Test(t, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			src := &largeStore{fakeStore: newFakeStore(), bytes: bytes}
+			w := New(src, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, OwnReadInterval: 15 * time.Second}, nil, logrus.NewEntry(log))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go w.Run(ctx)
+			time.Sleep(5 * time.Second)
+			for i := range 10 {
+				v := w.View()
+				for range 3 {
+					time.Sleep(600 * time.Millisecond)
+					w.ApplyObservation(Observation{StoreVersion: src.version(), EndpointsDigest: v.EndpointsDigest, ConfigVersion: 1})
+				}
+				src.set(nil, endpointList("a", "b", "new"+strconv.Itoa(i))...)
+				w.ApplyObservation(Observation{StoreVersion: src.version(), EndpointsDigest: 1, ConfigVersion: 1})
+				time.Sleep(100 * time.Millisecond)
+				if _, ok := w.View().Endpoints["new"+strconv.Itoa(i)]; !ok {
+					t.Errorf("%d bytes: endpoint %d is missing", bytes, i)
+				}
+			}
+			if n := src.fullReads.Load(); bytes > largeListBytes && n > 1 {
+				t.Errorf("a list of %d bytes was read %d times", bytes, n)
+			}
+		})
+	}
+}
--- a/internal/coordination/watch/registry.go
+++ b/internal/coordination/watch/registry.go
@@ -25,11 +25,16 @@
 	confirmedAt time.Time
 	// graceUntil is the end of the grace period after the last outage of the store.
 	graceUntil time.Time
+	// listBytes is the length of the last answer that listed all registrations.
+	listBytes int
 }
 
 // with returns the registry after an answer from the store.
 func (r registry) with(change EndpointChange, now time.Time) registry {
-	next := registry{endpoints: maps.Clone(r.endpoints), uncertain: maps.Clone(r.uncertain), confirmedAt: now, graceUntil: r.graceUntil}
+	next := registry{endpoints: maps.Clone(r.endpoints), uncertain: maps.Clone(r.uncertain), confirmedAt: now, graceUntil: r.graceUntil, listBytes: r.listBytes}
+	if change.Full {
+		next.listBytes = change.Cost.Bytes
+	}
 	if next.endpoints == nil {
 		next.endpoints, next.uncertain = map[string]fleet.Endpoint{}, map[string]time.Time{}
 	}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -43,6 +43,11 @@
 	Transfer, Decode time.Duration
 }
 
+// Plus returns what two answers took together.
+func (c ReadCost) Plus(d ReadCost) ReadCost {
+	return ReadCost{c.Bytes + d.Bytes, c.Transfer + d.Transfer, c.Decode + d.Decode}
+}
+
 // EndpointChange is the store's answer to a read of the endpoints.
 type EndpointChange struct {
 	// Version is the store's version that the answer reflects.
@@ -54,6 +59,8 @@
 	InvalidRows []InvalidRow
 	// Clock is the store's time at which the answer held.
 	Clock clock.Sample
+	// Cost is what reading the answer took.
+	Cost ReadCost
 }
 
 // InvalidRow is a registration that does not describe a usable endpoint.
