--- a/internal/coordination/watch/arrival_test.go
+++ b/internal/coordination/watch/arrival_test.go
@@ -71,7 +71,7 @@
 				src := &thinLinkStore{fakeStore: newFakeStore()}
 				w := New(src, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, MaxRetryDelay: 800 * time.Millisecond, OwnReadInterval: 15 * time.Second}, nil, logrus.NewEntry(log))
 				relay := &fixedRelay{data: "9"}
-				w.SetRelay(relay)
+				w.SetRelay(relay, func() []string { return nil })
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go w.Run(ctx)
--- a/internal/coordination/watch/relay.go
+++ b/internal/coordination/watch/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,18 +10,42 @@
 
 // Relay reads the configuration that another process has in force.
 type Relay interface {
-	// ReadConfig returns the configuration of the process at an address as the store held it; it ends
-	// by itself once no more of it arrives.
-	ReadConfig(ctx context.Context, address string) ([]byte, error)
+	// ReadConfig returns the configuration of the process at an address as the store held it, or nil
+	// if its version isn't above newerThan; it ends by itself once no more of it arrives.
+	ReadConfig(ctx context.Context, address string, newerThan uint64) ([]byte, error)
 }
 
 // relayDelay is the time in which the store should have begun to answer with a configuration that
 // another process already has; it answers in milliseconds, and 60 times as slowly at worst.
 const relayDelay = 400 * time.Millisecond
 
-// SetRelay sets the relay of configurations that the store doesn't hand out. It must be called
+// SetRelay sets the relay of configurations that the store doesn't hand out, and a function that
+// returns the addresses of processes which read them from the store for others. It must be called
 // before Run.
-func (w *Watcher) SetRelay(r Relay) { w.relay = r }
+func (w *Watcher) SetRelay(r Relay, readers func() []string) { w.relay, w.readers = r, readers }
+
+const (
+	// readerAfter is the number of failed reads of the configuration in a row after which another
+	// process is asked to read it: the store may refuse this host, or all gateways, and serve others.
+	readerAfter = 3
+	// readerInterval is the pause between two such requests.
+	readerInterval = time.Second
+)
+
+// askReader asks another process to read the configuration from the store.
+func (w *Watcher) askReader(ctx context.Context) {
+	if w.relay == nil || time.Since(w.readerAskedAt) < readerInterval {
+		return
+	}
+	list := w.readers()
+	if len(list) == 0 {
+		return
+	}
+	w.readerAskedAt = time.Now()
+	if w.readRelayed(ctx, list[rand.IntN(len(list))]) {
+		w.update(func(v *View) { v.ConfigConfirmedAt = w.readerAskedAt })
+	}
+}
 
 // wantRelay asks for the configuration of the process that observed a newer one; the caller
 // holds mu.
@@ -59,22 +84,27 @@
 	}
 }
 
-// readRelayed reads the configuration of another process and takes it over if it is newer.
-func (w *Watcher) readRelayed(ctx context.Context, from string) {
-	data, err := w.relay.ReadConfig(ctx, from)
+// readRelayed reads the configuration of another process and takes it over if it is newer; it
+// reports whether the process answered.
+func (w *Watcher) readRelayed(ctx context.Context, from string) bool {
+	data, err := w.relay.ReadConfig(ctx, from, w.View().Config.Version)
+	if err == nil && data == nil {
+		return true
+	}
 	var ch ConfigChange
 	if err == nil {
 		ch, err = w.src.DecodeConfig(data)
 	}
 	if err != nil {
-		w.log.WithError(err).WithField("from", from).Warn("the newer configuration could not be read from the process that has it")
-		return
+		w.log.WithError(err).WithField("from", from).Warn("the newer configuration could not be read from another process")
+		return false
 	}
 	news := false
 	w.update(func(v *View) { news = w.takeConfig(v, ch, logrus.Fields{"source": from}) })
 	if news {
 		w.logSkipped(ch)
 	}
+	return true
 }
 
 // takeConfig puts a configuration into force in a view if it is newer, logs that with further
--- a/internal/coordination/watch/relay_test.go
+++ b/internal/coordination/watch/relay_test.go
@@ -42,7 +42,7 @@
 	reads atomic.Int64
 }
 
-func (r *fixedRelay) ReadConfig(context.Context, string) ([]byte, error) {
+func (r *fixedRelay) ReadConfig(context.Context, string, uint64) ([]byte, error) {
 	r.reads.Add(1)
 	return []byte(r.data), nil
 }
@@ -68,7 +68,7 @@
 				src.config = 3
 				w := New(src, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, MaxRetryDelay: 800 * time.Millisecond, OwnReadInterval: 15 * time.Second}, nil, logrus.NewEntry(log))
 				relay := &fixedRelay{data: tc.relayed}
-				w.SetRelay(relay)
+				w.SetRelay(relay, func() []string { return nil })
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go w.Run(ctx)
@@ -91,3 +91,31 @@
 		})
 	}
 }
+
+// TestReaderAskedWhileStoreRefuses guards against a change that no gateway learns of while the store refuses all of them and serves the keepers.
+func TestReaderAskedWhileStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		src := &refusingStore{fakeStore: newFakeStore()}
+		w := New(src, Timing{ConfigWait: 2200 * time.Millisecond, EndpointPoll: 600 * time.Millisecond, RetryDelay: 200 * time.Millisecond, MaxRetryDelay: 800 * time.Millisecond, OwnReadInterval: 15 * time.Second}, nil, logrus.NewEntry(log))
+		relay := &fixedRelay{data: "9"}
+		w.SetRelay(relay, func() []string { return []string{"10.0.0.1:1", "10.0.0.2:1"} })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go w.Run(ctx)
+		time.Sleep(10 * time.Second)
+		if n := relay.reads.Load(); n > 0 {
+			t.Errorf("%d reads from others while the store answers", n)
+		}
+		src.refuses.Store(true)
+		// The bound of a change at a gateway that the store refuses.
+		time.Sleep(9 * time.Second)
+		if v := w.View(); v.Config.Version != 9 || time.Since(v.ConfigConfirmedAt) > 2*time.Second {
+			t.Errorf("version %d is in force, confirmed %v ago; want 9", v.Config.Version, time.Since(v.ConfigConfirmedAt))
+		}
+		if n := relay.reads.Load(); n > 10 {
+			t.Errorf("%d reads from others in 9 s", n)
+		}
+	})
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -163,7 +163,11 @@
 	// process at relayFrom has a newer one.
 	relay       Relay
 	relayWanted chan struct{}
-	relayFrom   string
+	// readers returns the addresses of processes that read the configuration for others;
+	// readerAskedAt is when one was last asked. Only followConfig uses it.
+	readers       func() []string
+	readerAskedAt time.Time
+	relayFrom     string
 	// observedConfigAt is when the last observation with the current configuration version arrived.
 	observedConfigAt time.Time
 }
@@ -223,6 +227,9 @@
 			}
 			// The reads of the endpoints find out that the store answers again.
 			failures++
+			if failures >= readerAfter {
+				w.askReader(ctx)
+			}
 			sleepUntil(ctx, w.timing.retryDelay(failures+1), answered)
 			continue
 		}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -140,7 +140,7 @@
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
-	w.SetRelay(relay.NewClient())
+	w.SetRelay(relay.NewClient(), plane.KeeperAddresses)
 	plane.Credits().Register(reg)
 	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord, RestoreVersions: g.handler.RestoreVersions})
 
@@ -150,7 +150,10 @@
 	if g.health, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
 		return fail(err)
 	}
-	if g.relay, err = relay.Listen(cfg.Listen.Datagrams, func() []byte { return w.View().ConfigData }); err != nil {
+	if g.relay, err = relay.Listen(cfg.Listen.Datagrams, func(context.Context) (relay.Held, error) {
+		v := w.View()
+		return relay.Held{Version: v.Config.Version, Data: v.ConfigData}, nil
+	}); err != nil {
 		g.health.Close()
 		return fail(err)
 	}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -12,6 +12,7 @@
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/transport/httpd"
 	"chervilhead/internal/transport/keeper"
+	"chervilhead/internal/transport/relay"
 )
 
 const (
@@ -28,8 +29,10 @@
 	log *logrus.Entry
 	// metrics is nil if no address is set or the address could not be opened.
 	metrics *httpd.Server
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// relay reads the configuration from the store for gateways that it refuses.
+	relay  *httpd.Server
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 }
 
 // StartKeeper opens the listeners of a keeper and starts its background tasks.
@@ -41,8 +44,13 @@
 	if err != nil {
 		return nil, err
 	}
+	relayed, err := relay.Listen(cfg.Listen.Datagrams, relay.FromStore(src))
+	if err != nil {
+		k.Close()
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Keeper{log: log, metrics: serveMetrics(cfg.Listen.Metrics, reg, log), cancel: cancel}
+	n := &Keeper{log: log, metrics: serveMetrics(cfg.Listen.Metrics, reg, log), relay: relayed, cancel: cancel}
 	n.wg.Go(func() { k.Run(ctx) })
 	log.WithFields(logrus.Fields{"endpoint": cfg.Endpoint.Address, "service": cfg.Endpoint.Service}).Info("keeper started")
 	return n, nil
@@ -52,6 +60,7 @@
 // keeper reads them from the engine.
 func (n *Keeper) Stop() {
 	n.cancel()
+	n.relay.Close()
 	if n.metrics != nil {
 		n.metrics.Close()
 	}
--- a/internal/transport/control/streams.go
+++ b/internal/transport/control/streams.go
@@ -88,6 +88,21 @@
 	return sorted[:min(n, len(sorted))]
 }
 
+// KeeperAddresses returns the addresses of the keepers beside the listed engines.
+func (p *Plane) KeeperAddresses() []string {
+	v := p.view()
+	var out []string
+	for name, svc := range v.Config.Services() {
+		if svc.Engine == nil {
+			continue
+		}
+		for _, h := range p.engineHosts(v, name) {
+			out = append(out, p.hostAddr(h).String())
+		}
+	}
+	return out
+}
+
 // engineHosts returns the hosts of a service's engines, in order.
 func (p *Plane) engineHosts(v *watch.View, service string) []netip.Addr {
 	var out []netip.Addr
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -142,6 +142,9 @@
 	}, nil
 }
 
+// Close closes the listener of a keeper that isn't run.
+func (k *Keeper) Close() { _ = k.conn.Close() }
+
 // Run polls the engine and handles gateways' requests until the context ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -53,17 +53,31 @@
 	return c.zip, nil
 }
 
-// Listen serves a gateway's configuration in force to others on a TCP address; config returns it
-// as the store held it, or nil if there is none.
-func Listen(address string, config func() []byte) (*httpd.Server, error) {
+// Held is a configuration that a process can hand out; Data is as the store holds it, and empty if
+// there is none.
+type Held struct {
+	Version uint64
+	Data    []byte
+}
+
+// newerThanParam names the version that the caller has; only a higher one is sent to it.
+const newerThanParam = "newer_than"
+
+// Listen serves a process's configuration to gateways on a TCP address; config returns it.
+func Listen(address string, config func(context.Context) (Held, error)) (*httpd.Server, error) {
 	r := mux.NewRouter()
 	var zipped compressed
 	r.HandleFunc(configPath, func(w http.ResponseWriter, req *http.Request) {
-		data := config()
-		if len(data) == 0 {
+		held, err := config(req.Context())
+		if err != nil || len(held.Data) == 0 {
 			http.Error(w, "no configuration", http.StatusServiceUnavailable)
 			return
 		}
+		if has, err := strconv.ParseUint(req.URL.Query().Get(newerThanParam), 10, 64); err == nil && held.Version <= has {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		data := held.Data
 		w.Header().Set("Content-Type", "application/json")
 		if strings.Contains(req.Header.Get("Accept-Encoding"), "gzip") {
 			zip, err := zipped.of(data)
@@ -80,7 +94,7 @@
 	return httpd.Listen(address, r)
 }
 
-// Client reads configurations from other gateways.
+// Client reads configurations from other processes.
 type Client struct{ http *http.Client }
 
 // NewClient returns a client that opens a connection for each read, because reads are rare. The
@@ -90,14 +104,14 @@
 }
 
 // ReadConfig implements watch.Relay.
-func (c *Client) ReadConfig(ctx context.Context, address string) ([]byte, error) {
+func (c *Client) ReadConfig(ctx context.Context, address string, newerThan uint64) ([]byte, error) {
 	// The address comes in a datagram.
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return nil, fmt.Errorf("address of the gateway: %w", err)
 	}
 	ctx, call, cancel := bulk.New(ctx, limits, nil)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+configPath, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+configPath+"?"+newerThanParam+"="+strconv.FormatUint(newerThan, 10), nil)
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration from %s: %w", address, err)
 	}
@@ -106,6 +120,9 @@
 		return nil, fmt.Errorf("read the configuration from %s: %w", address, call.Err(err))
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNoContent {
+		return nil, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("read the configuration from %s: status %d", address, resp.StatusCode)
 	}
--- a/internal/transport/relay/relay_test.go
+++ b/internal/transport/relay/relay_test.go
@@ -12,7 +12,7 @@
 // TestReadConfig guards against a configuration that is cut off, too long or missing and is taken for one, and against a gateway that never answers.
 func TestReadConfig(t *testing.T) {
 	var data []byte
-	srv, err := Listen("127.0.0.1:0", func() []byte { return data })
+	srv, err := Listen("127.0.0.1:0", func(context.Context) (Held, error) { return Held{Version: 7, Data: data}, nil })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 			data = []byte(tc.config)
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
-			got, err := c.ReadConfig(ctx, tc.address)
+			got, err := c.ReadConfig(ctx, tc.address, 0)
 			if (err == nil) != tc.ok || tc.ok && string(got) != tc.config {
 				t.Errorf("%d bytes, error %v", len(got), err)
 			}
@@ -49,18 +49,21 @@
 // TestCompressedConfig guards against a configuration that is sent at its full length to each gateway that asks, or that is of an earlier version.
 func TestCompressedConfig(t *testing.T) {
 	data := []byte(`{"version":1,"padding":"` + strings.Repeat("route ", 200_000) + `"}`)
-	srv, err := Listen("127.0.0.1:0", func() []byte { return data })
+	srv, err := Listen("127.0.0.1:0", func(context.Context) (Held, error) { return Held{Version: 7, Data: data}, nil })
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer srv.Close()
 	for _, version := range []string{"1", "2", "2"} {
 		data = []byte(strings.Replace(string(data), `"version":1`, `"version":`+version, 1))
-		got, err := NewClient().ReadConfig(t.Context(), srv.Address())
+		got, err := NewClient().ReadConfig(t.Context(), srv.Address(), 6)
 		if err != nil || string(got) != string(data) {
 			t.Errorf("version %s: %d bytes, error %v", version, len(got), err)
 		}
 	}
+	if got, err := NewClient().ReadConfig(t.Context(), srv.Address(), 7); err != nil || got != nil {
+		t.Errorf("a gateway that has the version gets %d bytes, error %v", len(got), err)
+	}
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+srv.Address()+configPath, nil)
 	if err != nil {
 		t.Fatal(err)
