--- a/internal/cmds/soak.go
+++ b/internal/cmds/soak.go
@@ -80,6 +80,7 @@
 	f.BoolVar(&cfg.Leaves, "leaves", true, "let endpoints leave that only say so in their answers now and then")
 	f.BoolVar(&cfg.Pauses, "pauses", true, "let endpoints ask for a pause now and then")
 	f.BoolVar(&cfg.Refusals, "refusals", false, "let the store refuse a gateway for nine seconds or more beside a change")
+	f.BoolVar(&cfg.LargeConfigs, "large-configs", false, "write large configurations, up to four in a row, which reach every other gateway over 10 Mbit/s")
 	f.BoolVar(&cfg.Versions, "versions", false, "let engines of several software versions serve side by side, roll versions out, harm all gateways at once, and let callers resume broken streams; uses at least 4 engines")
 	f.BoolVar(&cfg.Keys, "keys", false, "let callers need keys, which are added and removed now and then")
 	f.BoolVar(&cfg.StrictRevocation, "strict-revocation", false, "let gateways prove that a key is valid, also while they are cut off; includes --keys")
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,6 +39,7 @@
 	quotaChange
 	keyRevoke
 	gatewayRefusal
+	largeChange
 )
 
 // String returns the kind's name in reports.
@@ -46,7 +47,7 @@
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
 		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore", "rate_limit", "endpoint_leave", "endpoint_pause",
-		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke", "gateway_refusal",
+		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke", "gateway_refusal", "large_change",
 	}[k]
 }
 
@@ -162,6 +163,8 @@
 		s.revokeKey(e)
 	case gatewayRefusal:
 		s.refuseGateway(e)
+	case largeChange:
+		s.changeLargeConfig(e)
 	case newRoute:
 		s.env.AddRoute()
 	case historyDrop:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -28,6 +28,8 @@
 	// meanRefusalInterval is the mean time between gateways that the store refuses, each of which
 	// takes nine seconds or more.
 	meanRefusalInterval = 4 * time.Second
+	// meanLargeChangeInterval is the mean time between large configurations.
+	meanLargeChangeInterval = 3 * time.Second
 	// meanRevokeInterval is the mean time between keys that are removed while a gateway is cut off,
 	// each of which takes six seconds or more.
 	meanRevokeInterval = 6 * time.Second
@@ -93,6 +95,10 @@
 	return scheduleKind(gatewayRefusal, 12, seed, length, meanRefusalInterval)
 }
 
+func scheduleLargeChanges(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(largeChange, 13, seed, length, meanLargeChangeInterval)
+}
+
 // scheduleAll returns all faults of a run, ordered by time.
 func scheduleAll(cfg Settings) []faultEvent {
 	if cfg.DisableFaults {
@@ -114,6 +120,7 @@
 		{cfg.Quotas, scheduleQuotaChanges},
 		{cfg.StrictRevocation, scheduleRevokes},
 		{cfg.Refusals, scheduleRefusals},
+		{cfg.LargeConfigs, scheduleLargeChanges},
 	} {
 		if kind.on {
 			events = append(events, kind.list(cfg.Seed, cfg.InjectionDuration)...)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -58,6 +58,8 @@
 	Keys, StrictRevocation, Quotas bool
 	// Refusals adds gateways that the store refuses for long beside a change.
 	Refusals bool
+	// LargeConfigs adds large configurations, which reach every other gateway over a thin link.
+	LargeConfigs bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -234,6 +236,9 @@
 		p.callers, p.ready = addrs[3*i], addrs[3*i+1]
 		s.gateways = append(s.gateways, p)
 	}
+	if s.cfg.LargeConfigs {
+		s.limitLinks()
+	}
 	for _, p := range s.procs() {
 		if err := p.start(); err != nil {
 			return err
--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -203,23 +203,38 @@
 }
 
 // AddRoute writes a new version of the configuration with one more route and returns its name.
-func (env *Environment) AddRoute() string { return env.AddRoutes(0) }
+func (env *Environment) AddRoute() string { return env.addRoute(nil) }
 
-// AddRoutes writes a new version of the configuration with a number of routes that nobody uses, and
-// with one more route, whose name it returns.
+// AddRoutes writes a new version of the configuration with a number of routes that nobody uses, in
+// place of earlier ones, and with one more route, whose name it returns.
 func (env *Environment) AddRoutes(unused int) string {
+	return env.addRoute(func(routes []stub.Route) []stub.Route {
+		routes = slices.DeleteFunc(routes, func(r stub.Route) bool { return r.Host == unusedHost })
+		for i := range unused {
+			name := fmt.Sprintf("unused%05d", i)
+			routes = append(routes, stub.Route{
+				Name: name, Host: unusedHost, Prefix: "/" + name + "/", Kind: stub.KindIdempotent, TimeoutMS: 12000, ObjectiveMS: 5000, Service: otherService, MaxAttempts: 2,
+			})
+		}
+		return routes
+	})
+}
+
+// unusedHost is the host of the routes that nobody uses.
+const unusedHost = "unused.example"
+
+// addRoute writes a new version of the configuration with one more route; change, which may be nil,
+// changes the others.
+func (env *Environment) addRoute(change func([]stub.Route) []stub.Route) string {
 	env.mu.Lock()
 	defer env.mu.Unlock()
 	env.config.Version += 3
-	env.config.Routes = slices.Clip(env.config.Routes)
-	for i := range unused {
-		name := fmt.Sprintf("unused%d-%d", env.config.Version, i)
-		env.config.Routes = append(env.config.Routes, stub.Route{
-			Name: name, Host: "unused.example", Prefix: "/" + name + "/", Kind: stub.KindIdempotent, TimeoutMS: 12000, ObjectiveMS: 5000, Service: otherService, MaxAttempts: 2,
-		})
+	env.config.Routes = slices.Clone(env.config.Routes)
+	if change != nil {
+		env.config.Routes = change(env.config.Routes)
 	}
 	name := "new" + strconv.FormatUint(env.config.Version, 10)
-	env.config.Routes = append(env.config.Routes[:len(env.config.Routes):len(env.config.Routes)], stub.Route{
+	env.config.Routes = append(env.config.Routes, stub.Route{
 		Name: name, Host: RouteHost, Prefix: "/" + name + "/", Kind: stub.KindIdempotent, TimeoutMS: 2000, ObjectiveMS: 300, Service: otherService, MaxAttempts: 3,
 	})
 	env.Store.Configure(env.config)
