--- a/internal/transport/drain/drain_test.go
+++ b/internal/transport/drain/drain_test.go
@@ -75,7 +75,9 @@
 		if err != nil {
 			return err
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if err != nil {
 			return err
 		}
 		if next == 0 {
