node: a planned stop waits for what was accepted before it closes

Cause, from its logs and net/http's source: once Shutdown has begun, the server closes a request that it has read without an answer; no line of the request is in the log.

A stop now waits for the end of the accepting loop first, and a connection without a request is closed after a second, as long as callers wait for it to be read.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -80,9 +80,9 @@
 	// maxDrainShare is the largest part of the grace period in which a gateway that stops still
 	// accepts connections.
 	maxDrainShare = 0.5
-	// quietTime is how long a connection has no request before a gateway that stops closes it. A
-	// caller that goes on at once after a response sends its next request within it.
-	quietTime = 500 * time.Millisecond
+	// quietTime is how long a connection has no request before a gateway that stops closes it: as
+	// long as callers wait for their request to be read.
+	quietTime = time.Second
 )
 
 // Gateway is a running gateway process.
@@ -90,9 +90,11 @@
 	cfg config.Gateway
 	log *logrus.Entry
 	srv *http.Server
-	// listener and conns are those of srv.
+	// listener and conns are those of srv, and accepted is closed once all connections that it has
+	// accepted are among conns.
 	listener net.Listener
 	conns    *drain.Conns
+	accepted chan struct{}
 	health   *httpd.Server
 	// metrics is nil if no address of its own is set or the address could not be opened.
 	metrics *httpd.Server
@@ -108,7 +110,7 @@
 // StartGateway opens the listeners of a gateway and starts its background tasks.
 func StartGateway(cfg config.Gateway, src PlatformStore, headers proxy.HeaderNames, reg *prometheus.Registry, log *logrus.Entry) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &Gateway{cfg: cfg, log: log, cancel: cancel, conns: drain.New()}
+	g := &Gateway{cfg: cfg, log: log, cancel: cancel, conns: drain.New(), accepted: make(chan struct{})}
 	fail := func(err error) (*Gateway, error) {
 		cancel()
 		return nil, err
@@ -171,6 +173,7 @@
 	g.metrics = serveMetrics(cfg.Listen.Metrics, reg, log)
 	g.ready.Store(true)
 	g.wg.Go(func() {
+		defer close(g.accepted)
 		if err := g.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			log.WithError(err).Error("server for callers failed")
 		}
@@ -220,6 +223,7 @@
 	if err := g.listener.Close(); err != nil {
 		g.log.WithError(err).Debug("could not close the listener for callers")
 	}
+	<-g.accepted
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := g.conns.Wait(ctx, quietTime); err != nil {
