drain: a request isn't passed on once its connection is being closed

A request that had been sent 70 to 100 ms before on a connection idle for long was passed on and its connection cut in the same millisecond, 2.5 s into a stop. Log: 'set tcp: use of closed network connection' before 'attempt failed'.

The close and the begin of a request now exclude each other: a request that loses is dropped unpassed, as one that crosses the close, one that wins keeps its connection. TestRequestOnClosedConnection failed before (passed on in two of three cases).

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -166,8 +166,8 @@
 		return fail(fmt.Errorf("listen on %s: %w; choose a free address", cfg.Listen.Callers, err))
 	}
 	g.srv = &http.Server{
-		Handler: g.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ConnState: g.conns.Observe, ErrorLog: stdlog.New(serverLog{log}, "", 0),
+		Handler: g.conns.Handler(g.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ConnContext: g.conns.Context, ConnState: g.conns.Observe, ErrorLog: stdlog.New(serverLog{log}, "", 0),
 	}
 	g.listener = l
 	g.metrics = serveMetrics(cfg.Listen.Metrics, reg, log)
--- a/internal/transport/drain/drain_test.go
+++ b/internal/transport/drain/drain_test.go
@@ -33,11 +33,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			conns := New()
-			srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			srv := httptest.NewUnstartedServer(conns.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(tc.busy)
 				_, _ = io.WriteString(w, "fine")
-			}))
-			srv.Config.ConnState = conns.Observe
+			})))
+			srv.Config.ConnContext, srv.Config.ConnState = conns.Context, conns.Observe
 			srv.Start()
 			t.Cleanup(srv.Close)
 			c, err := net.Dial("tcp", srv.Listener.Addr().String())
@@ -66,6 +66,32 @@
 	}
 }
 
+// TestRequestOnClosedConnection guards against a request that is passed on although the connection on which it was read is being closed.
+func TestRequestOnClosedConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	for _, tc := range []struct {
+		state  http.ConnState
+		passed bool
+	}{{http.StateNew, false}, {http.StateIdle, false}, {http.StateActive, true}} {
+		conns, passed := New(), false
+		ctx := conns.Context(t.Context(), near)
+		conns.Observe(near, tc.state)
+		conns.closeQuiet(0)
+		func() {
+			defer func() {
+				if r := recover(); r != nil && !errors.Is(r.(error), http.ErrAbortHandler) {
+					t.Errorf("the handler panicked: %v", r)
+				}
+			}()
+			conns.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { passed = true })).ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodGet, "/", nil))
+		}()
+		if passed != tc.passed {
+			t.Errorf("%v: the request was passed on: %v, want %v", tc.state, passed, tc.passed)
+		}
+	}
+}
+
 // requests sends a request, and another one at a time after its response unless that is zero.
 func requests(c net.Conn, next time.Duration) error {
 	br := bufio.NewReader(c)
