--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -237,8 +237,8 @@
 	if c.confirmed || h.cfg.ConfirmEndpoints == nil {
 		return states
 	}
-	// An endpoint may have come back under its id with another version, which its keeper says, or
-	// else the store, as it says which others are of this version.
+	// An endpoint may have been restarted under its id with another version. Its keeper reports that,
+	// or else the store, which also lists further endpoints of this version.
 	reported := slices.DeleteFunc(slices.Clone(states), func(s fleet.State) bool { return !s.StatusSupersedes })
 	if len(reported) > 0 {
 		return reported
