watch: no data race in the test of arriving configurations

The value is an atomic now; the checks are as they were. 30 runs of the package under the race detector passed, of which the first failed before.

--- a/internal/coordination/watch/arrival_test.go
+++ b/internal/coordination/watch/arrival_test.go
@@ -18,7 +18,7 @@
 type thinLinkStore struct {
 	*fakeStore
 	// transfer is how long an answer arrives; it stalls after a part of it if stalls is set.
-	transfer time.Duration
+	transfer atomic.Int64
 	stalls   atomic.Bool
 	begun    atomic.Int64
 }
@@ -33,11 +33,12 @@
 	s.mu.Lock()
 	ch := ConfigChange{Version: s.version(), Config: fleet.NewConfig(s.config, nil, nil, fleet.Limits{}), Changed: true}
 	s.mu.Unlock()
-	for end := time.Now().Add(s.transfer); time.Now().Before(end); sleep(ctx, 50*time.Millisecond) {
+	transfer := time.Duration(s.transfer.Load())
+	for end := time.Now().Add(transfer); time.Now().Before(end); sleep(ctx, 50*time.Millisecond) {
 		if ctx.Err() != nil {
 			return ConfigChange{}, context.Cause(ctx)
 		}
-		if s.stalls.Load() && time.Until(end) < s.transfer/2 {
+		if s.stalls.Load() && time.Until(end) < transfer/2 {
 			<-ctx.Done()
 			return ConfigChange{}, context.Cause(ctx)
 		}
@@ -77,7 +78,7 @@
 				go w.Run(ctx)
 				w.ApplyObservation(Observation{From: "10.0.0.1:1", ConfigVersion: 1})
 				time.Sleep(time.Second)
-				src.transfer = tc.transfer
+				src.transfer.Store(int64(tc.transfer))
 				src.stalls.Store(tc.stalls)
 				src.begun.Store(0)
 				began := time.Now()
