--- a/internal/coordination/watch/observation_test.go
+++ b/internal/coordination/watch/observation_test.go
@@ -69,6 +69,8 @@
 			if silent {
 				return ConfigChange{}, errors.New("no answer")
 			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			return ConfigChange{Version: s.version()}, nil
 		case <-ctx.Done():
 			return ConfigChange{}, context.Cause(ctx)
