--- a/internal/transport/proxy/outofstep_test.go
+++ b/internal/transport/proxy/outofstep_test.go
@@ -43,9 +43,7 @@
 							t.Fatalf("the stream began at version %s", got[0])
 						}
 						f.keepers.silent.Store(keepersSilent)
-						if !keepersKnow {
-							f.keepers.records = newFakeKeepers().records
-						}
+						f.keepers.forgotten.Store(!keepersKnow)
 						var a response
 						if mention == "bad\x01" {
 							// A value that names no request.
--- a/internal/transport/proxy/versions_fake_test.go
+++ b/internal/transport/proxy/versions_fake_test.go
@@ -19,6 +19,8 @@
 	records *resume.Records
 	// silent is set while no keeper answers.
 	silent atomic.Bool
+	// forgotten is set while no keeper has a record.
+	forgotten atomic.Bool
 	// sends counts the calls of SendStreamRecords.
 	sends atomic.Int64
 }
@@ -42,7 +44,7 @@
 	if p.keepers.silent.Load() {
 		return resume.Record{}, resume.KeepersSilent
 	}
-	if rec, ok := p.keepers.records.Get(key, time.Now()); ok {
+	if rec, ok := p.keepers.records.Get(key, time.Now()); ok && !p.keepers.forgotten.Load() {
 		return rec, resume.KeeperRecord
 	}
 	return resume.Record{}, resume.NoRecord
