watch: an endpoint that starts again is believed whatever its clock says

Cause: a registration whose born was lower than that of the one before was taken for a late write of an earlier incarnation and dropped for as long as the row lasted. born is a time of day, which may jump between two starts. Keepers' reports, pauses and ids were compared in the same way.

Change: the newest write is taken. What tells a late write from a new incarnation is that only one that lives writes again, so a changed incarnation is unconfirmed until its second write or its keeper's report: no stream goes on there meanwhile, and it leaves if either incarnation does. If the incarnation before writes again, the write in between was late. Reports are compared by when they and the registration arrived; a pause ends for an incarnation that the keeper hasn't met.

--- a/internal/coordination/watch/registry.go
+++ b/internal/coordination/watch/registry.go
@@ -27,16 +27,18 @@
 	graceUntil time.Time
 	// listBytes is the length of the last answer that listed all registrations.
 	listBytes int
+	// successions holds the incarnations of each endpoint that was registered as several.
+	successions map[string]succession
 }
 
 // with returns the registry after an answer from the store.
 func (r registry) with(change EndpointChange, now time.Time) registry {
-	next := registry{endpoints: maps.Clone(r.endpoints), uncertain: maps.Clone(r.uncertain), confirmedAt: now, graceUntil: r.graceUntil, listBytes: r.listBytes}
+	next := registry{endpoints: maps.Clone(r.endpoints), uncertain: maps.Clone(r.uncertain), confirmedAt: now, graceUntil: r.graceUntil, listBytes: r.listBytes, successions: maps.Clone(r.successions)}
 	if change.Full {
 		next.listBytes = change.Cost.Bytes
 	}
 	if next.endpoints == nil {
-		next.endpoints, next.uncertain = map[string]fleet.Endpoint{}, map[string]time.Time{}
+		next.endpoints, next.uncertain, next.successions = map[string]fleet.Endpoint{}, map[string]time.Time{}, map[string]succession{}
 	}
 	if !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) > lapseThreshold {
 		next.graceUntil = now.Add(reregisterGrace)
@@ -44,11 +46,7 @@
 	listed := make(map[string]bool, len(change.Endpoints))
 	for _, e := range change.Endpoints {
 		listed[e.ID] = true
-		if old, ok := next.endpoints[e.ID]; ok && e.Incarnation != 0 && e.Incarnation < old.Incarnation {
-			// A late write of an earlier incarnation must not replace a newer one.
-			continue
-		}
-		next.endpoints[e.ID] = e
+		next.register(e, now)
 		delete(next.uncertain, e.ID)
 	}
 	removed := change.Gone
@@ -70,13 +68,45 @@
 			}
 			continue
 		}
-		delete(next.endpoints, id)
+		next.remove(id)
 	}
 	for id, until := range next.uncertain {
 		if !now.Before(until) {
-			delete(next.endpoints, id)
+			next.remove(id)
 			delete(next.uncertain, id)
 		}
 	}
 	return next
 }
+
+func (r registry) remove(id string) {
+	delete(r.endpoints, id)
+	delete(r.successions, id)
+}
+
+// register takes a registration that the store lists.
+func (r registry) register(e fleet.Endpoint, now time.Time) {
+	old, known := r.endpoints[e.ID]
+	if !known {
+		e.ListedAt = now
+		r.endpoints[e.ID] = e
+		return
+	}
+	next, s := r.successions[e.ID].register(old, e, now)
+	r.endpoints[e.ID] = next
+	if s.isEmpty() {
+		delete(r.successions, e.ID)
+		return
+	}
+	r.successions[e.ID] = s
+}
+
+// unconfirmed reports whether some endpoint's newest incarnation isn't known.
+func (r registry) unconfirmed() bool {
+	for id := range r.successions {
+		if r.endpoints[id].Unconfirmed {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -326,7 +326,8 @@
 		if time.Since(began) < startupPeriod {
 			pause = min(pause, startupPoll)
 		}
-		if w.timing.OwnReadInterval <= 0 {
+		if w.timing.OwnReadInterval <= 0 || reg.unconfirmed() {
+			// Only own reads show whether an incarnation writes again.
 			sleepUntil(ctx, pause, w.reads.wanted)
 			continue
 		}
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -16,13 +16,20 @@
 	PreemptionNotice time.Duration
 	// Sequence is the number of orders that the endpoint has accepted since its start.
 	Sequence int64
-	// Incarnation is the Unix time of the endpoint's start in milliseconds; it distinguishes
-	// the incarnations that use one id.
+	// Incarnation is the Unix time of the endpoint's start in milliseconds. It distinguishes the
+	// incarnations that use one id and doesn't order them, because the time of day may jump.
 	Incarnation int64
 	Models      []Resident
 	// SoftwareVersion is the version of the endpoint's software; endpoints without one are all of
 	// the empty version.
 	SoftwareVersion string
+	// Revision is the store's version of the write that the registration is of, or 0 if not known.
+	Revision uint64
+	// ListedAt is when this process first read a registration of this incarnation.
+	ListedAt time.Time
+	// Unconfirmed is set while the registration may be a late write of an incarnation that has ended:
+	// the endpoint may be one of another version.
+	Unconfirmed bool
 }
 
 // IncarnationID identifies one life of an endpoint's process.
--- a/internal/state/resume/decide.go
+++ b/internal/state/resume/decide.go
@@ -115,7 +115,8 @@
 // returns when a connection to an endpoint last broke or could not be opened, or zero. An endpoint
 // that was restarted is registered under its old version for up to a second, so one whose
 // connection broke is left out until its keeper reports the same incarnation again. Without
-// a report it is only avoided, because a broken connection mostly has other reasons.
+// a report it is only avoided, because a broken connection mostly has other reasons. One whose newest
+// incarnation isn't known is left out.
 func AtVersion(states []fleet.State, service, version string, brokeAt func(fleet.Endpoint) time.Time, confirmedAt time.Time) []fleet.State {
 	var sure, doubtful []fleet.State
 	for _, s := range states {
@@ -127,6 +128,7 @@
 		}
 		broke := brokeAt(s.Endpoint)
 		switch {
+		case s.Unconfirmed:
 		case broke.IsZero() || confirmedAt.Sub(broke) > registrationLapse:
 			sure = append(sure, s)
 		case !s.StatusSupersedes:
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -46,6 +46,9 @@
 	// trustedReportAge is the age up to which a report takes precedence over the registration.
 	// A registration may be as old as one heartbeat interval and one poll interval.
 	trustedReportAge = 1800 * time.Millisecond
+	// reportDelay is the time after which a report is of a read of the engine that is later than the
+	// read of a registration: the keeper reads it every 0.1 s and reports a change at once.
+	reportDelay = 200 * time.Millisecond
 	// keeperSilentAfter is the age of the newest report of a keeper whose engine is in use from
 	// which its host is suspected of being frozen: more than two heartbeat intervals and the
 	// wait for a lost datagram.
@@ -295,6 +298,9 @@
 				continue
 			}
 			s.Status, s.StatusSupersedes = r.status, true
+			if r.status.Incarnation == e.Incarnation && r.status.ReceivedAt.After(e.ListedAt) {
+				s.Unconfirmed = false
+			}
 		}
 		out = append(out, p.withLeaving(s, now))
 	}
@@ -319,9 +325,15 @@
 // from before the endpoint's restart.
 func supersedes(st fleet.Status, e fleet.Endpoint, now time.Time) bool {
 	age := now.Sub(st.ReceivedAt)
+	other := st.Incarnation != e.Incarnation
 	switch {
-	case age >= maxReportAge || st.Incarnation < e.Incarnation:
+	case age >= maxReportAge:
+		return false
+	case other && st.ReceivedAt.Before(e.ListedAt.Add(reportDelay)):
+		// The registration was read after the keeper had read the engine.
 		return false
+	case other:
+		return age < trustedReportAge
 	case age < trustedReportAge:
 		return true
 	default:
--- a/internal/transport/keeper/keeper.go
+++ b/internal/transport/keeper/keeper.go
@@ -91,6 +91,8 @@
 	report        Report
 	missedReports int
 	spec          *fleet.EngineSpec
+	// incarnations are those of the engine that this keeper has met, the latest one last.
+	incarnations []int64
 	// pausedUntil is the end of the pause that the engine's incarnation asked for.
 	pausedUntil time.Time
 	// healthPath is the health check's path, or empty until the configuration was read.
@@ -220,6 +222,7 @@
 		if r.Leaving && !k.report.Leaving {
 			k.log.WithField("born", r.Incarnation).Info("the engine says that it leaves")
 		}
+		k.meet(r.Incarnation)
 		k.missedReports, k.report = 0, r
 	}
 	if r.Alive && !k.identified && !time.Now().Before(k.pausedUntil) {
--- a/internal/transport/keeper/pause.go
+++ b/internal/transport/keeper/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,10 +31,24 @@
 	return true
 }
 
-// endPauseOfOldIncarnation ends the pause once a gateway names a newer incarnation of the engine,
-// which never asked for it.
+// maxIncarnations bounds the incarnations of the engine that are known.
+const maxIncarnations = 8
+
+// endPauseOfOldIncarnation ends the pause once a gateway names an incarnation of the engine that this
+// keeper hasn't met, which never asked for it. Each ends one pause at most, because a gateway may name
+// an earlier one.
 func (k *Keeper) endPauseOfOldIncarnation(req *dgram.KeeperRequest) {
-	if req.Incarnation > k.report.Incarnation && k.report.Incarnation != 0 {
-		k.pausedUntil = time.Time{}
+	if k.report.Incarnation == 0 || req.Incarnation == 0 || !k.meet(req.Incarnation) {
+		return
+	}
+	k.pausedUntil = time.Time{}
+}
+
+// meet records an incarnation of the engine and reports whether it is new.
+func (k *Keeper) meet(incarnation int64) bool {
+	if slices.Contains(k.incarnations, incarnation) {
+		return false
 	}
+	k.incarnations = append(k.incarnations[max(0, len(k.incarnations)+1-maxIncarnations):], incarnation)
+	return true
 }
--- a/internal/transport/keeper/requests.go
+++ b/internal/transport/keeper/requests.go
@@ -83,7 +83,7 @@
 // applyRequest records a gateway's request. It returns true if the request may lead to an
 // order or carries crash records, so that it is handled before the next poll.
 func (k *Keeper) applyRequest(req *dgram.KeeperRequest, from string, now time.Time) bool {
-	if req.Endpoint != "" && !k.identified && (k.endpoint == "" || req.Endpoint != k.endpoint && req.Incarnation >= k.report.Incarnation) {
+	if req.Endpoint != "" && !k.identified && (k.endpoint == "" || req.Endpoint != k.endpoint && req.Incarnation == k.report.Incarnation) {
 		k.endpoint = req.Endpoint
 	}
 	k.endPauseOfOldIncarnation(req)
