sender: a process that starts again is heard whatever its clock says

A keeper or gateway numbers its incarnations by the time of day. One that restarted after the time of day on its host had jumped back was ignored by the others for as long as they ran: a keeper's reports, a gateway's demand and its requests for credit.

Change: a lower number is older only while the higher one goes on sending. A message is on its way for 0.5 s at most; after that silence the other incarnation is heard. A late message that is taken wrongly is corrected by the next one.

TestKeeperRestartedWithOtherClock failed before (the earlier keeper's report was used).

--- a/internal/state/credit/pool.go
+++ b/internal/state/credit/pool.go
@@ -6,6 +6,7 @@
 
 	"chervilhead/internal/state/bucket"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/sender"
 )
 
 const (
@@ -53,11 +54,10 @@
 
 // member is a gateway as the pool knows it.
 type member struct {
-	incarnation int64
-	sequence    uint64
-	reply       Grant
-	reportedAt  time.Time
-	groups      map[string]holding
+	order      sender.Order
+	reply      Grant
+	reportedAt time.Time
+	groups     map[string]holding
 }
 
 // holding is a gateway's credit and use of one group.
@@ -91,13 +91,19 @@
 // Handle returns the reply to a request, or false if a newer one of that gateway has arrived.
 func (p *Pool) Handle(now time.Time, r Request, f Fleet) (Grant, bool) {
 	m, known := p.members[r.Gateway]
-	switch {
-	case known && (r.Incarnation < m.incarnation || r.Incarnation == m.incarnation && r.Sequence < m.sequence):
-		return Grant{}, false
-	case known && r.Incarnation == m.incarnation && r.Sequence == m.sequence:
+	if known && r.Incarnation == m.order.Incarnation() && r.Sequence == m.reply.Sequence {
 		m.reportedAt = now
 		return m.reply, true
-	case known && r.Incarnation > m.incarnation:
+	}
+	var before sender.Order
+	if known {
+		before = m.order
+	}
+	order, newer := before.With(r.Incarnation, r.Sequence, now)
+	if !newer {
+		return Grant{}, false
+	}
+	if known && r.Incarnation != before.Incarnation() {
 		// The credit of the earlier process is gone with it.
 		p.drop(m)
 		known = false
@@ -107,7 +113,7 @@
 		p.members[r.Gateway] = m
 		p.sweptAt = time.Time{}
 	}
-	m.incarnation, m.sequence, m.reportedAt = r.Incarnation, r.Sequence, now
+	m.order, m.reportedAt = order, now
 	p.sweep(now, f)
 	m.reply = Grant{Term: p.term, Sequence: r.Sequence, Entries: make([]GrantEntry, len(r.Entries))}
 	for i, e := range r.Entries {
--- a/internal/transport/control/clockstep_test.go
+++ b/internal/transport/control/clockstep_test.go
@@ -50,3 +50,19 @@
 		t.Error("the keeper's report doesn't confirm the registration")
 	}
 }
+
+// TestKeeperRestartedWithOtherClock guards against a keeper that is ignored after a restart because the time of day on its host jumped back.
+func TestKeeperRestartedWithOtherClock(t *testing.T) {
+	p, reports := planeWith(t, 1)
+	r := reports[0]
+	r.KeeperIncarnation, r.MessageSequence, r.Running = 9000, 50, 1
+	p.handleEndpointState(r)
+	time.Sleep(550 * time.Millisecond)
+	for i := range 3 {
+		r.KeeperIncarnation, r.MessageSequence, r.Running = 7000, uint64(i+1), 2+i
+		p.handleEndpointState(r)
+	}
+	if s := p.States()[0]; s.Status.Running != 4 {
+		t.Errorf("the gateway goes by the earlier keeper's report: %d running", s.Status.Running)
+	}
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -22,6 +22,7 @@
 	"chervilhead/internal/state/notice"
 	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
+	"chervilhead/internal/state/sender"
 	"chervilhead/internal/transport/proxy"
 )
 
@@ -78,12 +79,11 @@
 
 // report is the newest report of one keeper.
 type report struct {
-	status      fleet.Status
-	incarnation int64
-	sequence    uint64
-	move        moveProgress
-	endpoint    string
-	gateways    int
+	status   fleet.Status
+	order    sender.Order
+	move     moveProgress
+	endpoint string
+	gateways int
 	// refusedAdapters are adapters for which the endpoint had no free slot.
 	refusedAdapters []string
 }
--- a/internal/transport/control/planner.go
+++ b/internal/transport/control/planner.go
@@ -18,6 +18,7 @@
 	"chervilhead/internal/state/bucket"
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/replica"
+	"chervilhead/internal/state/sender"
 )
 
 // Lease is the planner lease; the holder's name is its address for datagrams.
@@ -71,10 +72,9 @@
 type gatewayDemand struct {
 	receivedAt time.Time
 	// addr is the gateway's address for datagrams, empty for this gateway itself.
-	addr        string
-	incarnation int64
-	sequence    uint64
-	models      []dgram.ModelDemand
+	addr   string
+	order  sender.Order
+	models []dgram.ModelDemand
 }
 
 type pendingMove struct {
@@ -173,11 +173,12 @@
 func (p *planner) handleDemand(m *dgram.Demand, from string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := p.demands[m.Gateway]
-	if m.GatewayIncarnation < old.incarnation || m.GatewayIncarnation == old.incarnation && m.MessageSequence <= old.sequence {
+	now := time.Now()
+	order, newer := p.demands[m.Gateway].order.With(m.GatewayIncarnation, m.MessageSequence, now)
+	if !newer {
 		return
 	}
-	p.demands[m.Gateway] = gatewayDemand{receivedAt: time.Now(), addr: from, incarnation: m.GatewayIncarnation, sequence: m.MessageSequence, models: m.Models}
+	p.demands[m.Gateway] = gatewayDemand{receivedAt: now, addr: from, order: order, models: m.Models}
 }
 
 // reportDemand sends the demand at this gateway to the planner.
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -146,11 +146,13 @@
 		r = &report{}
 		p.reports[m.Address] = r
 	}
-	if m.KeeperIncarnation < r.incarnation || m.KeeperIncarnation == r.incarnation && m.MessageSequence <= r.sequence {
+	now := time.Now()
+	order, newer := r.order.With(m.KeeperIncarnation, m.MessageSequence, now)
+	if !newer {
 		return
 	}
 	status := fleet.Status{
-		ReceivedAt: time.Now(), Incarnation: m.Incarnation, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Prefilling: m.Prefilling,
+		ReceivedAt: now, Incarnation: m.Incarnation, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Prefilling: m.Prefilling,
 		KVUsedTokens: m.KVUsedTokens, KVTotalTokens: m.KVTotalTokens, Sequence: m.OrderSequence, ExecutingOrder: m.ExecutingOrder, InMemory: m.InMemory, OnDisk: m.OnDisk, Leaving: m.Leaving, AdaptersInUse: m.AdaptersInUse, LoadingModels: m.LoadingModels, ReservedMB: m.ReservedMB,
 	}
 	for _, x := range m.Models {
@@ -163,7 +165,7 @@
 		status.LoadingAdapters = append(status.LoadingAdapters, fleet.ParseModelName(name))
 	}
 	changed := status.Sequence != r.status.Sequence || status.Alive != r.status.Alive || status.Leaving != r.status.Leaving || status.ExecutingOrder != r.status.ExecutingOrder || len(status.Models) != len(r.status.Models) || len(status.LoadingAdapters) > 0 || len(m.RefusedAdapters) > 0
-	r.incarnation, r.sequence, r.status, r.endpoint, r.gateways, r.refusedAdapters = m.KeeperIncarnation, m.MessageSequence, status, m.Endpoint, m.Gateways, m.RefusedAdapters
+	r.order, r.status, r.endpoint, r.gateways, r.refusedAdapters = order, status, m.Endpoint, m.Gateways, m.RefusedAdapters
 	p.gatewayPeak = p.gatewayPeak.with(m.Gateways, status.ReceivedAt)
 	r.move = moveProgress{m.MoveFencingToken, m.MoveID, m.MoveDone}
 	p.outdated.Store(true)
