keep: streams can be taken up after all processes were killed at once

Cause: which version began a stream was known to processes only, to the gateway and three keepers.

Change: records of streams of services with several versions lie in the store too. They are sent before the request is, so that the write and the endpoint's first event run beside each other. The planner writes those of all gateways, ten times a second at most; without a planner each gateway writes its own. Each row has one writer, so no condition can fail. A process that starts reads all rows and goes on with those of the one before it; a gateway reads them again when neither it nor the keepers know a stream.

Evidence: TestStreamsAfterProcessesEnd (all, a moment after the start, twice, gateways only, keepers only, half of each, a store that refuses a gateway, one that comes back older; real processes and SIGKILL) failed before in 5 of 9 forms with 0 of 23 or 24 streams, and passes with 22 to 24 of as many.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -139,12 +139,16 @@
 		Ramp:             cfg.Ramp,
 		ConfirmEndpoints: w.ConfirmEndpoints,
 		Quotas:           plane.Credits(),
+		Durable:          plane.Durable(),
 	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
 	w.SetRelay(relay.NewClient(), plane.KeeperAddresses)
 	plane.Credits().Register(reg)
-	plane.SetHooks(control.Hooks{TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord, RestoreVersions: g.handler.RestoreVersions})
+	plane.SetHooks(control.Hooks{
+		TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord,
+		RestoreVersions: g.handler.RestoreVersions, RestoreStreams: g.handler.RestoreStreams,
+	})
 
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,17 @@
 	return bin
 }
 
+// turns bounds the runs beside each other: one waits most of its time, so that two don't starve.
+var turns = make(chan struct{}, 2)
+
+// takeTurn lets a subtest run beside others.
+func takeTurn(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	turns <- struct{}{}
+	t.Cleanup(func() { <-turns })
+}
+
 // TestSeeds runs the seeds in testdata/seeds.txt, which guard against earlier failures.
 func TestSeeds(t *testing.T) {
 	if testing.Short() {
@@ -31,8 +42,6 @@
 		t.Fatal(err)
 	}
 	bin := build(t)
-	// A run waits most of its time, so that two beside each other don't starve.
-	turns := make(chan struct{}, 2)
 	for line := range strings.Lines(string(data)) {
 		f := strings.Fields(line)
 		if len(f) < 3 || f[0] == "#" {
@@ -47,9 +56,7 @@
 			t.Fatal(err)
 		}
 		t.Run("seed_"+f[0], func(t *testing.T) {
-			t.Parallel()
-			turns <- struct{}{}
-			defer func() { <-turns }()
+			takeTurn(t)
 			runSeed(t, Settings{
 				Binary: bin, Seed: seed, InjectionDuration: length, Restores: slices.Contains(f, "+restores"),
 				RateLimits: slices.Contains(f, "+limits"), Leaves: slices.Contains(f, "+leaves"), Pauses: slices.Contains(f, "+pauses"),
--- a/internal/state/resume/decide.go
+++ b/internal/state/resume/decide.go
@@ -50,6 +50,8 @@
 	OwnRecord Source = "own"
 	// KeeperRecord is a keeper's.
 	KeeperRecord Source = "keeper"
+	// StoreRecord is one that the store holds.
+	StoreRecord Source = "store"
 	// KeepersSilent means that this gateway has none and a keeper did not answer.
 	KeepersSilent Source = "silent"
 )
@@ -59,7 +61,7 @@
 	// Service is the service that the request is for.
 	Service string
 	Mention Mention
-	// Record is valid if Source is OwnRecord or KeeperRecord.
+	// Record is valid if Source is OwnRecord, KeeperRecord or StoreRecord.
 	Record Record
 	Source Source
 	// Settled is set if SettledVersion is the only version of the service.
@@ -68,7 +70,9 @@
 }
 
 // Recorded reports whether a record tells which version began the stream.
-func (e Evidence) Recorded() bool { return e.Source == OwnRecord || e.Source == KeeperRecord }
+func (e Evidence) Recorded() bool {
+	return e.Source == OwnRecord || e.Source == KeeperRecord || e.Source == StoreRecord
+}
 
 // Decision is what becomes of a resumption.
 type Decision interface{ decision() }
--- /dev/null
+++ b/internal/transport/control/durable.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"chervilhead/internal/coordination/keep"
+	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/resume"
+	"chervilhead/internal/transport/proxy"
+)
+
+const (
+	// streamFlushInterval is the pause between two sends of records of streams to the planner, which
+	// writes those of all gateways, and plannerWriteInterval that between its writes. Together they
+	// are less than the time to a stream's first event.
+	streamFlushInterval  = 100 * time.Millisecond
+	plannerWriteInterval = 100 * time.Millisecond
+	// ownWriteInterval is the pause between two writes of a gateway's own records while there is no
+	// planner; all gateways write then.
+	ownWriteInterval = 400 * time.Millisecond
+	// handedOverFor is how long a gateway keeps the records that it sent to the planner, which may
+	// have ended before it wrote them: longer than it takes to notice that.
+	handedOverFor = 2 * time.Second
+	// streamReadInterval is the least time between two reads of the records of streams, which many
+	// resumptions share.
+	streamReadInterval = time.Second
+)
+
+var _ proxy.Durable = (*durable)(nil)
+
+// durable keeps in the store what must outlive all processes. The planner writes the records of
+// streams for all gateways, so that the writes don't grow with the gateways; without a planner each
+// gateway writes its own.
+type durable struct {
+	plane   *Plane
+	streams *keep.Streams
+
+	mu sync.Mutex
+	// unsent are the records that came since the last flush, and handedOver those that the planner
+	// was sent.
+	unsent     []resume.Record
+	handedOver []timedRecord
+
+	reading sync.Mutex
+	// readAt is when the records were last read.
+	readAt time.Time
+}
+
+type timedRecord struct {
+	resume.Record
+	at time.Time
+}
+
+// Durable returns what keeps the handler's records in the store. Run serves it.
+func (p *Plane) Durable() proxy.Durable { return p.durable }
+
+// run restores what earlier processes kept, and keeps what comes, until the context ends.
+func (d *durable) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if !d.retry(ctx, d.restoreStreams) {
+			return
+		}
+		d.streams.Run(ctx, func() time.Duration {
+			if d.plane.planner.isPlanner(time.Now()) {
+				return plannerWriteInterval
+			}
+			return ownWriteInterval
+		})
+	})
+	tick := time.NewTicker(streamFlushInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			d.flush(time.Now())
+		case <-ctx.Done():
+			wg.Wait()
+			return
+		}
+	}
+}
+
+// retry calls f until it succeeds, and returns false if the context ends first.
+func (d *durable) retry(ctx context.Context, f func(context.Context) error) bool {
+	for {
+		err := f(ctx)
+		if err == nil {
+			return true
+		}
+		d.plane.log.WithError(err).Debug("what earlier processes kept was not read")
+		if waitForChange(ctx, nil, versionsRetryInterval) != nil {
+			return false
+		}
+	}
+}
+
+func (d *durable) restoreStreams(ctx context.Context) error {
+	recs, err := d.streams.Load(ctx)
+	if err != nil {
+		return err
+	}
+	d.plane.hooks.RestoreStreams(recs)
+	d.plane.log.WithField("streams", len(recs)).Info("records of streams were read")
+	return nil
+}
+
+// SaveStreams implements proxy.Durable. The records are on their way to the store within
+// streamFlushInterval.
+func (d *durable) SaveStreams(recs []resume.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.unsent)+len(recs) <= resume.MaxRecords {
+		d.unsent = append(d.unsent, recs...)
+	}
+}
+
+// flush hands the records over to the planner, or writes them without one.
+func (d *durable) flush(now time.Time) {
+	planner := d.plane.planner.other(now)
+	d.mu.Lock()
+	unsent := d.unsent
+	d.unsent = nil
+	for len(d.handedOver) > 0 && now.Sub(d.handedOver[0].at) > handedOverFor {
+		d.handedOver = d.handedOver[1:]
+	}
+	if planner == "" {
+		for _, r := range d.handedOver {
+			unsent = append(unsent, r.Record)
+		}
+		d.handedOver = nil
+	} else {
+		for _, r := range unsent {
+			d.handedOver = append(d.handedOver, timedRecord{r, now})
+		}
+	}
+	d.mu.Unlock()
+	switch {
+	case len(unsent) == 0:
+	case planner == "":
+		d.streams.Put(unsent, now)
+	default:
+		d.handOver(planner, unsent)
+	}
+}
+
+// handOver sends records of streams to the planner.
+func (d *durable) handOver(planner string, recs []resume.Record) {
+	type version struct{ service, version string }
+	keys := map[version][]uint64{}
+	for _, r := range recs {
+		v := version{r.Service, r.Version}
+		keys[v] = append(keys[v], r.Key)
+	}
+	addr, err := net.ResolveUDPAddr("udp4", planner)
+	for v, list := range keys {
+		for _, m := range dgram.NewStreamRecords(v.service, v.version, list) {
+			data, encodeErr := dgram.Encode(m)
+			if err = errors.Join(err, encodeErr); err == nil {
+				_, err = d.plane.conn.WriteTo(data, addr)
+			}
+		}
+	}
+	if err != nil {
+		d.plane.log.WithError(err).WithField("planner", planner).Debug("records of streams were not handed over")
+	}
+}
+
+// takeOver keeps the records that another gateway handed over.
+func (d *durable) takeOver(m *dgram.StreamRecords) {
+	var recs []resume.Record
+	for _, s := range m.Streams {
+		for _, k := range s.Keys {
+			recs = append(recs, resume.Record{Key: k, Service: s.Service, Version: s.Version})
+		}
+	}
+	d.streams.Put(recs, time.Now())
+}
+
+// ReadStreams implements proxy.Durable. Calls within streamReadInterval share one read.
+func (d *durable) ReadStreams(ctx context.Context) error {
+	asked := time.Now()
+	d.reading.Lock()
+	defer d.reading.Unlock()
+	if !d.readAt.IsZero() && (d.readAt.After(asked) || asked.Sub(d.readAt) < streamReadInterval) {
+		return nil
+	}
+	if err := d.restoreStreams(ctx); err != nil {
+		return err
+	}
+	d.readAt = asked
+	return nil
+}
+
+// isPlanner reports whether this gateway is the planner.
+func (p *planner) isPlanner(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.holdsLease(now)
+}
+
+// other returns the address of the planner if another gateway is it and announced itself lately.
+func (p *planner) other(now time.Time) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holdsLease(now) || now.After(p.announcedAt.Add(plannerSilentAfter)) {
+		return ""
+	}
+	return p.holder
+}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/coordination/keep"
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/coordination/watch"
 	"chervilhead/internal/protocol/dgram"
@@ -131,6 +132,7 @@
 	outdated atomic.Bool
 	credits  *Credits
 	pool     *creditPool
+	durable  *durable
 }
 
 // snapshot holds all endpoints with their newest reports at a time, in order of their ids.
@@ -153,12 +155,14 @@
 		hooks: Hooks{
 			TakeUsage: func(string) ([]string, []uint64) { return nil, nil }, RecentlyUsed: func(string) bool { return false },
 			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashRecord: func(poison.CrashRecord) {},
+			RestoreStreams: func([]resume.Record) {},
 		},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
 		startedAt: time.Now(), reports: map[string]*report{}, usedSince: map[string]time.Time{}, changed: make(chan struct{}), demand: newDemandMeter(), leavers: notice.NewLeavers(),
 	}
 	p.planner = newPlanner(p, lease, table)
 	p.credits, p.pool = newCredits(p), &creditPool{plane: p}
+	p.durable = &durable{plane: p, streams: keep.NewStreams(table, cfg.GatewayID, log)}
 	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
@@ -174,12 +178,19 @@
 	// gateways.
 	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
 	MergeCrashRecord func(rec poison.CrashRecord)
+	// RestoreStreams takes the records that earlier processes kept in the store; it may be nil.
+	RestoreStreams func(recs []resume.Record)
 	// RestoreVersions takes the software versions that the store's row names, once; it may be nil.
 	RestoreVersions func(resume.Row)
 }
 
 // SetHooks sets the hooks. It must be called before Run.
-func (p *Plane) SetHooks(h Hooks) { p.hooks = h }
+func (p *Plane) SetHooks(h Hooks) {
+	if h.RestoreStreams == nil {
+		h.RestoreStreams = p.hooks.RestoreStreams
+	}
+	p.hooks = h
+}
 
 // OnObservation sets the function that takes the planner's observations of the store. It must
 // be called before Run.
@@ -194,6 +205,7 @@
 	wg.Go(func() { p.planner.run(ctx) })
 	wg.Go(func() { p.credits.run(ctx) })
 	wg.Go(func() { p.restoreVersions(ctx) })
+	wg.Go(func() { p.durable.run(ctx) })
 	wg.Go(func() {
 		tick := time.NewTicker(p.cfg.SubscribeInterval / ticksPerSubscription)
 		defer tick.Stop()
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -103,6 +103,10 @@
 			p.observe(watch.Observation{From: m.ConfigHolder, ConfigVersion: m.ConfigVersion})
 		}
 	case *dgram.StreamRecords:
+		if m.Query == 0 {
+			p.durable.takeOver(m)
+			break
+		}
 		p.streamQueries.handleReply(m, from)
 	case *dgram.Demand:
 		p.planner.handleDemand(m, from)
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -121,6 +121,7 @@
 			return
 		}
 		c.attempts++
+		h.recordAhead(c, e)
 		switch res := h.attempt(c, e).(type) {
 		case attemptDone:
 			h.clearCrashes(c, time.Now())
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -87,6 +87,8 @@
 	Ramp bool
 	// Quotas bounds what groups may use; nil bounds nothing.
 	Quotas Quotas
+	// Durable keeps what must outlive all processes; nil keeps nothing.
+	Durable Durable
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -84,6 +84,9 @@
 		}
 		if recs := h.versions.records.OfService(name, time.Now()); len(recs) > 0 {
 			h.control.SendStreamRecords(name, recs)
+			if h.cfg.Durable != nil {
+				h.cfg.Durable.SaveStreams(recs)
+			}
 		}
 	}
 }
@@ -99,11 +102,9 @@
 	if !isNamed {
 		return
 	}
-	for _, t := range c.route.Targets {
-		if rec, ok := h.versions.records.Get(resume.KeyOf(t.Service, named.ID), time.Now()); ok {
-			c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
-			return
-		}
+	if rec, ok := h.ownRecord(c, named.ID); ok {
+		c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
+		return
 	}
 	type found struct {
 		record resume.Record
@@ -126,6 +127,9 @@
 			return
 		}
 	}
+	if rec, ok := h.readStream(c, named.ID); ok {
+		c.resumes.Record, c.resumes.Source = rec, resume.StoreRecord
+	}
 }
 
 // pickService returns the service for a request: that of the stream that it resumes, or one of the
@@ -179,6 +183,7 @@
 	version, settled := h.settled(rec.Service)
 	if !settled || version != rec.Version || len(c.route.Targets) > 1 {
 		h.control.SendStreamRecords(rec.Service, []resume.Record{rec})
+		h.saveStream(rec)
 	}
 }
 
