keep: a blocked request stays blocked after all processes were killed, and while it comes

Cause: crash records were in the memory of gateways and keepers only. They also ended two minutes after the newest crash (prompt parts: ten), while the requests that they blocked still came.

Change: each gateway keeps the records that it would miss most in one row of the store, written at once after a crash of its own. One that starts reads the rows of all before it serves, for 0.6 s at most, and reads them again once keepers that may have held a record have started again. A record lasts an hour after its newest crash, a blocked one an hour after the last request. So that nothing is blocked by mistake for good, one request of a block may run after 10 minutes, 1 hour, 6 hours and so on, over all gateways, by a claim in the store.

TestCrashingRequestComesForHours fails with the former life of records.

--- a/internal/coordination/keep/keep_test.go
+++ b/internal/coordination/keep/keep_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 
 	"chervilhead/internal/coordination/store"
 	"chervilhead/internal/state/clock"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
 	"chervilhead/internal/state/sets"
 )
@@ -289,7 +291,7 @@
 		time.Sleep(2 * writeInterval)
 		a.kill()
 		for i, value := range []string{"", "{", "[]", `{"streams":7}`, `{"streams":[{"keys":"!"}]}`, `{"at_ms":"x"}`, "\xff"} {
-			for _, prefix := range []string{"streams/x/", "streams/a/"} {
+			for _, prefix := range []string{"streams/x/", "streams/a/", crashPrefix} {
 				key := fmt.Sprint(prefix, 50+i)
 				tb.set(func() { tb.rows[key] = store.Row{Key: key, Value: []byte(value), Version: 99} })
 			}
@@ -299,5 +301,112 @@
 		} else {
 			b.kill()
 		}
+		if _, err := NewCrashes(tb, "b", quiet()).Load(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func crashRecord(fingerprint string, crashes ...string) poison.CrashRecord {
+	rec := poison.CrashRecord{Fingerprint: fingerprint, ExpiresAt: time.Now().Add(poison.RecordTTL)}
+	for _, id := range crashes {
+		rec.Crashes = append(rec.Crashes, poison.Crash{ID: id, Level: poison.LevelShared})
+	}
+	return rec
+}
+
+// TestCrashesOutliveProcesses guards against crash records that are lost with the processes, or with a store that refuses or comes back older.
+func TestCrashesOutliveProcesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTable()
+		ctx, kill := context.WithCancel(t.Context())
+		var recs atomic.Pointer[[]poison.CrashRecord]
+		a := NewCrashes(tb, "a", quiet())
+		go a.Run(ctx, func(time.Time) []poison.CrashRecord { return *recs.Load() }, func() time.Duration { return time.Second })
+		keepNow := func(list []poison.CrashRecord) {
+			recs.Store(&list)
+			a.Changed()
+		}
+		load := func() int {
+			out, err := NewCrashes(tb, "b", quiet()).Load(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := 0
+			for _, rec := range out {
+				n += rec.Uncleared()
+			}
+			return n
+		}
+		keepNow([]poison.CrashRecord{crashRecord("f", "1")})
+		time.Sleep(10 * time.Millisecond)
+		if load() != 1 {
+			t.Fatal("the first crash isn't kept at once")
+		}
+		for i := range 500 {
+			keepNow([]poison.CrashRecord{crashRecord("f", "1", fmt.Sprint("x", i))})
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := tb.writes(); n > 8 {
+			t.Errorf("%d writes in 5 s", n)
+		}
+		time.Sleep(2 * time.Second)
+		copied, _ := tb.copy()
+		keepNow([]poison.CrashRecord{crashRecord("f", "1", "2", "3")})
+		time.Sleep(2 * time.Second)
+		tb.set(func() { tb.rows, tb.era = copied, 2 })
+		time.Sleep(2 * time.Second)
+		if n := load(); n != 3 {
+			t.Errorf("%d of 3 crashes are kept after the store came back older", n)
+		}
+		tb.set(func() { tb.refuses = true })
+		keepNow([]poison.CrashRecord{crashRecord("f", "1", "2", "3", "4")})
+		time.Sleep(5 * time.Second)
+		tb.set(func() { tb.refuses = false })
+		time.Sleep(2 * time.Second)
+		if n := load(); n != 4 {
+			t.Errorf("%d of 4 crashes are kept after the store refused writes", n)
+		}
+		kill()
+		time.Sleep(poison.RecordTTL + time.Second)
+		if n := load(); n != 0 {
+			t.Errorf("%d crashes are read after their records have expired", n)
+		}
+		if rows, _ := tb.size(); rows != 0 {
+			t.Errorf("%d rows of a process that is gone are left", rows)
+		}
+	})
+}
+
+// TestTrials guards against a request that crashes endpoints and runs again and again, and against one that is blocked by mistake for good.
+func TestTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTable()
+		gateways := make([]*Crashes, 50)
+		for i := range gateways {
+			gateways[i] = NewCrashes(tb, fmt.Sprint(i), quiet())
+		}
+		var at []time.Duration
+		began := time.Now()
+		for time.Since(began) < 48*time.Hour {
+			if time.Since(began) > 30*time.Hour {
+				tb.set(func() { tb.era = 2 })
+			}
+			for i, c := range gateways {
+				if c.ClaimTrial(t.Context(), "f") {
+					at = append(at, time.Since(began))
+				}
+				gateways[i] = NewCrashes(tb, fmt.Sprint(i), quiet())
+			}
+			time.Sleep(5 * time.Minute)
+		}
+		t.Logf("trials after %v", at)
+		if len(at) != 3 || at[0] < firstTrialAfter || at[0] > firstTrialAfter+10*time.Minute {
+			t.Errorf("trials after %v, want three in two days", at)
+		}
+		tb.set(func() { tb.refuses = true })
+		if gateways[0].ClaimTrial(t.Context(), "g") {
+			t.Error("a trial without the store's word")
+		}
 	})
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -147,7 +147,7 @@
 	plane.Credits().Register(reg)
 	plane.SetHooks(control.Hooks{
 		TakeUsage: g.handler.TakeUsage, RecentlyUsed: g.handler.RecentlyUsed, AddPrefixes: g.handler.AddCachedPrefixes, MergeCrashRecord: g.handler.MergeCrashRecord,
-		RestoreVersions: g.handler.RestoreVersions, RestoreStreams: g.handler.RestoreStreams,
+		RestoreVersions: g.handler.RestoreVersions, RestoreStreams: g.handler.RestoreStreams, RestoreCrashes: g.handler.RestoreCrashes, KeptCrashes: g.handler.KeptCrashes,
 	})
 
 	r := mux.NewRouter()
--- a/internal/soak/outlive_test.go
+++ b/internal/soak/outlive_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -187,3 +188,48 @@
 		})
 	}
 }
+
+// TestCrashingRequestAfterProcessesEnd guards against a request that crashes further endpoints because only processes that ended knew of it.
+func TestCrashingRequestAfterProcessesEnd(t *testing.T) {
+	t.Parallel()
+	bin := build(t)
+	const deadly, rounds = "deadly", 6
+	for _, l := range append(slices.Clone(losses[:1]), losses[2:]...) {
+		t.Run(l.name, func(t *testing.T) {
+			takeTurn(t)
+			s := l.start(t, bin)
+			s.env.SetDeadlyBody(deadly)
+			for round := range rounds {
+				// Endpoints that crashed are back.
+				time.Sleep(restartPause)
+				c := testbed.NewClient(s.env.Checker)
+				gateways := l.serving(s)
+				c.Do(testbed.Request{Gateway: gateways[round%len(gateways)].callers, Route: s.env.Route("post"), Path: "x", Body: deadly, Deadline: requestDeadline})
+				c.Close()
+				time.Sleep(200 * time.Millisecond)
+				if l.older && round != 3 {
+					// A crash since the copy was made is lost with the processes.
+					continue
+				}
+				l.end(t, s)
+				l.waitServing(t, s)
+			}
+			crashes := s.env.Checker.Crashes()
+			t.Logf("%d crashes in %d rounds", len(crashes), rounds)
+			if n := len(crashes); n < 3 || n > 4 {
+				t.Errorf("the request crashed endpoints %d times; it is known after three", n)
+			}
+			// A sound request is served all the same.
+			c := testbed.NewClient(s.env.Checker)
+			defer c.Close()
+			time.Sleep(restartPause)
+			res := c.Do(testbed.Request{Gateway: l.serving(s)[0].callers, Route: s.env.Route("post"), Path: "x", Body: fmt.Sprint("sound", rounds), Deadline: requestDeadline})
+			if res.Outcome != testbed.OutcomeServed {
+				t.Errorf("a sound request: %s, status %d", res.Outcome, res.Status)
+			}
+		})
+	}
+}
+
+// restartPause is longer than an endpoint that crashed is away.
+const restartPause = 1500 * time.Millisecond
--- a/internal/standin/testbed/deadly.go
+++ b/internal/standin/testbed/deadly.go
@@ -20,6 +20,29 @@
 	}
 }
 
+// SetDeadlyBody makes each endpoint crash when it begins to run a request with a body, and start again.
+func (env *Environment) SetDeadlyBody(body string) {
+	for _, e := range slices.Concat(env.PlainEndpoints, env.EngineEndpoints) {
+		e.mu.Lock()
+		e.deadlyBody = body
+		e.mu.Unlock()
+	}
+}
+
+// crashOnBody ends the incarnation, and the request, if the request's body is deadly.
+func (e *Endpoint) crashOnBody(r *http.Request, self, body string) {
+	e.mu.Lock()
+	deadly := body != "" && body == e.deadlyBody
+	e.mu.Unlock()
+	if !deadly {
+		return
+	}
+	e.checker.addCrash()
+	go e.crash(self)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // hasDeadlyPart reports whether a prompt holds a part other than as its last one.
 func hasDeadlyPart(prompt, part string) bool {
 	parts := strings.Split(prompt, ",")
@@ -68,7 +91,7 @@
 	c.crashes = append(c.crashes, time.Now())
 }
 
-// Crashes returns when endpoints began to crash under a deadly prompt part.
+// Crashes returns when endpoints began to crash under a deadly request or prompt part.
 func (c *Checker) Crashes() []time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -85,11 +85,15 @@
 	crashing bool
 	// deadlyPart is the prompt part that crashes the endpoint, or empty.
 	deadlyPart string
-	srv        *http.Server
-	cancel     context.CancelFunc
-	waiting    int
-	running    int
-	model      *modelState
+	// deadlyBody is the body of the request that crashes the endpoint, or empty.
+	deadlyBody string
+	// clockOffset is how far the time of day on the endpoint's machine is ahead.
+	clockOffset time.Duration
+	srv         *http.Server
+	cancel      context.CancelFunc
+	waiting     int
+	running     int
+	model       *modelState
 	// endServing ends the period in which the incarnation serves all new requests, nil outside one.
 	endServing func()
 	ended      bool
@@ -140,7 +144,7 @@
 	if e.nextVersion != nil {
 		e.cfg.SoftwareVersion, e.nextVersion = *e.nextVersion, nil
 	}
-	e.startMillis, e.state, e.cancel, e.drainingSince, e.rateLimit = time.Now().UnixMilli(), stub.StateReady, cancel, time.Time{}, ""
+	e.startMillis, e.state, e.cancel, e.drainingSince, e.rateLimit = time.Now().Add(e.clockOffset).UnixMilli(), stub.StateReady, cancel, time.Time{}, ""
 	e.leaving, e.pausedUntil, e.crashing = false, time.Time{}, false
 	e.waiting, e.running = 0, 0
 	e.ended = false
@@ -186,6 +190,14 @@
 	e.nextVersion, e.keepID = &version, keepID
 }
 
+// SetClock sets how far the time of day on the endpoint's machine is ahead, which its next incarnation
+// names as its start.
+func (e *Endpoint) SetClock(ahead time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.clockOffset = ahead
+}
+
 // LimitRate makes the endpoint's answers name a limit of requests a second until its
 // incarnation ends; 0 withdraws it.
 func (e *Endpoint) LimitRate(perSecond float64) {
@@ -341,6 +353,7 @@
 	if f != EndpointFaultNone {
 		e.checker.markFaulted(id)
 	}
+	e.crashOnBody(r, self, string(body))
 	if model != nil {
 		e.crashIfDeadly(w, r, id, self)
 		e.stream(w, r, id, version, f)
--- a/internal/state/poison/suspects.go
+++ b/internal/state/poison/suspects.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// PartRecordTTL is how long a suspect part is remembered after its newest crash.
-	PartRecordTTL = 10 * time.Minute
+	// PartRecordTTL is how long a suspect part is remembered after its newest crash, and a blocked one
+	// after the last request with it.
+	PartRecordTTL = RecordTTL
 	// partCrashes is the number of crashes, each of another endpoint incarnation and not
 	// followed by an answer, that block a part which has never been answered here. The
 	// platform allows five.
@@ -160,6 +161,23 @@
 	return ""
 }
 
+// Extend makes the record of a part last until a time, unless it lasts longer already.
+func (s *Suspects) Extend(part string, until time.Time) {
+	if sp, ok := s.parts[part]; ok {
+		sp.expiresAt = latest(sp.expiresAt, until)
+		s.parts[part] = sp
+	}
+}
+
+// Kept returns the records of the parts that a process would miss most, at most MaxKept.
+func (s *Suspects) Kept(now time.Time) []CrashRecord {
+	recs := make([]CrashRecord, 0, len(s.parts))
+	for p := range s.parts {
+		recs = append(recs, s.Record(p))
+	}
+	return kept(recs, now)
+}
+
 // hotPart is a part with enough crashes to be blocked.
 type hotPart struct {
 	part       string
--- a/internal/transport/control/crashrecord.go
+++ b/internal/transport/control/crashrecord.go
@@ -14,8 +14,8 @@
 const crashRecordRelays = 3
 
 // crashRecordResends are the delays after which crash records are sent again, because
-// datagrams may be lost.
-var crashRecordResends = []time.Duration{150 * time.Millisecond, 600 * time.Millisecond}
+// datagrams may be lost and keepers may just have started.
+var crashRecordResends = []time.Duration{150 * time.Millisecond, 600 * time.Millisecond, 2 * time.Second}
 
 // BroadcastCrashRecords sends crash records to the other gateways, relayed by some keepers.
 func (p *Plane) BroadcastCrashRecords(recs []poison.CrashRecord) {
--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilhead/internal/coordination/keep"
@@ -25,6 +26,15 @@
 	// handedOverFor is how long a gateway keeps the records that it sent to the planner, which may
 	// have ended before it wrote them: longer than it takes to notice that.
 	handedOverFor = 2 * time.Second
+	// minCrashInterval is the pause between two writes of crash records. With many gateways it is
+	// longer, so that all of them write crashWritesPerS times a second at most.
+	minCrashInterval = 500 * time.Millisecond
+	crashWritesPerS  = 100
+	// crashReadDelay is the time between restarts of keepers that may have held a crash record and the
+	// read of those in the store, in which gateways write what they know, and crashReadInterval the
+	// pause after it.
+	crashReadDelay    = 500 * time.Millisecond
+	crashReadInterval = 3 * time.Second
 	// streamReadInterval is the least time between two reads of the records of streams, which many
 	// resumptions share.
 	streamReadInterval = time.Second
@@ -38,6 +48,7 @@
 type durable struct {
 	plane   *Plane
 	streams *keep.Streams
+	crashes *keep.Crashes
 
 	mu sync.Mutex
 	// unsent are the records that came since the last flush, and handedOver those that the planner
@@ -45,6 +56,10 @@
 	unsent     []resume.Record
 	handedOver []timedRecord
 
+	// keeperRestarts counts the keepers that started again since the crash records were last read.
+	keeperRestarts atomic.Int64
+	keepersLost    chan struct{}
+
 	reading sync.Mutex
 	// readAt is when the records were last read.
 	readAt time.Time
@@ -72,6 +87,15 @@
 			return ownWriteInterval
 		})
 	})
+	wg.Go(func() {
+		if !d.retry(ctx, d.restoreCrashes) {
+			return
+		}
+		d.crashes.Run(ctx, d.plane.hooks.KeptCrashes, func() time.Duration {
+			return max(minCrashInterval, time.Duration(d.plane.GatewayBound())*time.Second/crashWritesPerS)
+		})
+	})
+	wg.Go(func() { d.rereadCrashes(ctx) })
 	tick := time.NewTicker(streamFlushInterval)
 	defer tick.Stop()
 	for {
@@ -109,6 +133,42 @@
 	return nil
 }
 
+func (d *durable) restoreCrashes(ctx context.Context) error {
+	recs, err := d.crashes.Load(ctx)
+	if err != nil {
+		return err
+	}
+	d.plane.hooks.RestoreCrashes(recs)
+	return nil
+}
+
+// noteKeeperRestart tells that a keeper started again. Once as many did as relay a crash record, it may
+// have been lost with them before it reached this gateway.
+func (d *durable) noteKeeperRestart() {
+	if d.keeperRestarts.Add(1) < crashRecordRelays {
+		return
+	}
+	select {
+	case d.keepersLost <- struct{}{}:
+	default:
+	}
+}
+
+// rereadCrashes reads the crash records in the store again each time that keepers may have lost some.
+func (d *durable) rereadCrashes(ctx context.Context) {
+	for {
+		select {
+		case <-d.keepersLost:
+		case <-ctx.Done():
+			return
+		}
+		d.keeperRestarts.Store(0)
+		if waitForChange(ctx, nil, crashReadDelay) != nil || !d.retry(ctx, d.restoreCrashes) || waitForChange(ctx, nil, crashReadInterval) != nil {
+			return
+		}
+	}
+}
+
 // SaveStreams implements proxy.Durable. The records are on their way to the store within
 // streamFlushInterval.
 func (d *durable) SaveStreams(recs []resume.Record) {
@@ -196,6 +256,14 @@
 	return nil
 }
 
+// SaveCrashes implements proxy.Durable.
+func (d *durable) SaveCrashes() { d.crashes.Changed() }
+
+// ClaimTrial implements proxy.Durable.
+func (d *durable) ClaimTrial(ctx context.Context, fingerprint string) bool {
+	return d.crashes.ClaimTrial(ctx, fingerprint)
+}
+
 // isPlanner reports whether this gateway is the planner.
 func (p *planner) isPlanner(now time.Time) bool {
 	p.mu.Lock()
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -155,14 +155,14 @@
 		hooks: Hooks{
 			TakeUsage: func(string) ([]string, []uint64) { return nil, nil }, RecentlyUsed: func(string) bool { return false },
 			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashRecord: func(poison.CrashRecord) {},
-			RestoreStreams: func([]resume.Record) {},
+			RestoreStreams: func([]resume.Record) {}, RestoreCrashes: func([]poison.CrashRecord) {}, KeptCrashes: func(time.Time) []poison.CrashRecord { return nil },
 		},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
 		startedAt: time.Now(), reports: map[string]*report{}, usedSince: map[string]time.Time{}, changed: make(chan struct{}), demand: newDemandMeter(), leavers: notice.NewLeavers(),
 	}
 	p.planner = newPlanner(p, lease, table)
 	p.credits, p.pool = newCredits(p), &creditPool{plane: p}
-	p.durable = &durable{plane: p, streams: keep.NewStreams(table, cfg.GatewayID, log)}
+	p.durable = &durable{plane: p, streams: keep.NewStreams(table, cfg.GatewayID, log), crashes: keep.NewCrashes(table, cfg.GatewayID, log), keepersLost: make(chan struct{}, 1)}
 	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
@@ -178,8 +178,11 @@
 	// gateways.
 	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
 	MergeCrashRecord func(rec poison.CrashRecord)
-	// RestoreStreams takes the records that earlier processes kept in the store; it may be nil.
+	// RestoreStreams and RestoreCrashes take the records that earlier processes kept in the store, and
+	// KeptCrashes returns those to keep there. They may be nil.
 	RestoreStreams func(recs []resume.Record)
+	RestoreCrashes func(recs []poison.CrashRecord)
+	KeptCrashes    func(now time.Time) []poison.CrashRecord
 	// RestoreVersions takes the software versions that the store's row names, once; it may be nil.
 	RestoreVersions func(resume.Row)
 }
@@ -189,6 +192,12 @@
 	if h.RestoreStreams == nil {
 		h.RestoreStreams = p.hooks.RestoreStreams
 	}
+	if h.RestoreCrashes == nil {
+		h.RestoreCrashes = p.hooks.RestoreCrashes
+	}
+	if h.KeptCrashes == nil {
+		h.KeptCrashes = p.hooks.KeptCrashes
+	}
 	p.hooks = h
 }
 
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -155,6 +155,9 @@
 	if !newer {
 		return
 	}
+	if ok && r.order.Incarnation() != m.KeeperIncarnation {
+		p.durable.noteKeeperRestart()
+	}
 	status := fleet.Status{
 		ReceivedAt: now, Incarnation: m.Incarnation, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Prefilling: m.Prefilling,
 		KVUsedTokens: m.KVUsedTokens, KVTotalTokens: m.KVTotalTokens, Sequence: m.OrderSequence, ExecutingOrder: m.ExecutingOrder, InMemory: m.InMemory, OnDisk: m.OnDisk, Leaving: m.Leaving, AdaptersInUse: m.AdaptersInUse, LoadingModels: m.LoadingModels, ReservedMB: m.ReservedMB,
--- a/internal/transport/keeper/crashrecord.go
+++ b/internal/transport/keeper/crashrecord.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/poison"
 )
 
 const (
@@ -15,7 +16,7 @@
 	// maxCrashRecords bounds the crash records that are kept, and so those of one report.
 	maxCrashRecords = 16
 	// maxCrashRecordLife bounds how long a record is kept for gateways that start later.
-	maxCrashRecordLife = 10 * time.Minute
+	maxCrashRecordLife = poison.RecordTTL
 )
 
 // crashRecords are the crash records that gateways sent, by fingerprint. Reports include a
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -75,7 +75,8 @@
 			return
 		}
 	}
-	if now := time.Now(); h.poisonTracker.blocked(c, now) || h.blockedPart(c, now) {
+	h.awaitCrashRecords(c)
+	if h.blocked(c, time.Now()) {
 		h.rejectPoison(c)
 		return
 	}
@@ -108,8 +109,8 @@
 		if !h.awaitStart(c, allowedAt) || waits && !h.takesRequests(e) {
 			continue
 		}
-		if h.blockedPart(c, time.Now()) {
-			// The part became known while the request waited, or by its own attempts.
+		if h.blocked(c, time.Now()) {
+			// It became known while the request waited, or by its own attempts.
 			if c.possibleRuns == 0 {
 				h.rejectPoison(c)
 			} else {
@@ -274,6 +275,9 @@
 		return true
 	}
 	c.possibleRuns++
+	if c.trial {
+		return false
+	}
 	return c.route.Repeatable() && c.possibleRuns < c.route.MaxAttempts && (!c.responseBegun || c.lastEventID != "" && c.bound)
 }
 
--- a/internal/transport/proxy/durable.go
+++ b/internal/transport/proxy/durable.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
 )
 
@@ -15,8 +18,20 @@
 	SaveStreams(recs []resume.Record)
 	// ReadStreams reads the records that processes have kept, and passes them to RestoreStreams.
 	ReadStreams(ctx context.Context) error
+	// SaveCrashes keeps what KeptCrashes returns.
+	SaveCrashes()
+	// ClaimTrial reports whether one request of a blocked fingerprint may run, over all gateways.
+	ClaimTrial(ctx context.Context, fingerprint string) bool
 }
 
+const (
+	// restoreTimeout bounds the time after the start in which requests wait for the crash records
+	// that outlived the process; the store answers in milliseconds.
+	restoreTimeout = 600 * time.Millisecond
+	// claimTimeout bounds the wait for permission to run a blocked request once.
+	claimTimeout = 300 * time.Millisecond
+)
+
 // RestoreStreams takes records of streams that outlived the processes that made them.
 func (h *Handler) RestoreStreams(recs []resume.Record) {
 	now := time.Now()
@@ -25,6 +40,73 @@
 	}
 }
 
+// RestoreCrashes takes the crash records that outlived the processes that made them.
+func (h *Handler) RestoreCrashes(recs []poison.CrashRecord) {
+	now, t := time.Now(), h.poisonTracker
+	blocked := 0
+	for _, rec := range recs {
+		if poison.IsPart(rec) {
+			h.mergePart(rec, now)
+		} else {
+			t.add(rec, now)
+		}
+		if rec.Uncleared() >= maxCrashes {
+			blocked++
+		}
+	}
+	t.restoreOnce.Do(func() { close(t.restored) })
+	h.log.WithFields(logrus.Fields{"records": len(recs), "blocked": blocked}).Info("crash records were read")
+}
+
+// KeptCrashes returns the crash records that must outlive the process.
+func (h *Handler) KeptCrashes(now time.Time) []poison.CrashRecord {
+	t := h.poisonTracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	recs := slices.Concat(t.registry.Kept(now), t.suspects.Kept(now))
+	t.kept = make(map[string]bool, len(recs))
+	for _, rec := range recs {
+		t.kept[rec.Fingerprint] = true
+	}
+	return recs
+}
+
+func (h *Handler) saveCrashes() {
+	if h.cfg.Durable != nil {
+		h.cfg.Durable.SaveCrashes()
+	}
+}
+
+// awaitCrashRecords waits until the crash records of earlier processes were read, for a short time
+// after the start.
+func (h *Handler) awaitCrashRecords(c *call) {
+	left := restoreTimeout - time.Since(h.tracker.start)
+	if h.cfg.Durable == nil || left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-h.poisonTracker.restored:
+	case <-t.C:
+	case <-c.ctx.Done():
+	}
+}
+
+// claimTrial reports whether a blocked request may run once.
+func (h *Handler) claimTrial(c *call, fingerprint string) bool {
+	if h.cfg.Durable == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
+	defer cancel()
+	if !h.cfg.Durable.ClaimTrial(ctx, fingerprint) {
+		return false
+	}
+	h.log.WithFields(logrus.Fields{"request": c.id, "fingerprint": fingerprint}).Warn("a blocked request runs once, to see whether it still crashes endpoints")
+	return true
+}
+
 // saveStream keeps the record of a stream for gateways that start after all others have ended.
 func (h *Handler) saveStream(rec resume.Record) {
 	if h.cfg.Durable != nil {
--- a/internal/transport/proxy/durable_test.go
+++ b/internal/transport/proxy/durable_test.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
 )
 
@@ -15,7 +24,10 @@
 	records *resume.Records
 	h       *Handler
 	// found are the records that a read returns.
-	found []resume.Record
+	found  []resume.Record
+	saves  atomic.Int64
+	trials atomic.Int64
+	grant  atomic.Bool
 }
 
 func (d *fakeDurable) SaveStreams(recs []resume.Record) {
@@ -29,12 +41,137 @@
 	return nil
 }
 
+func (d *fakeDurable) SaveCrashes() { d.saves.Add(1) }
+
+func (d *fakeDurable) ClaimTrial(context.Context, string) bool {
+	d.trials.Add(1)
+	return d.grant.Load()
+}
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func crashOf(c *call, id string, now time.Time) poison.CrashRecord {
+	return poison.CrashRecord{Fingerprint: c.fingerprint(), ExpiresAt: now.Add(crashRecordTTL), Crashes: []poison.Crash{{ID: id, Level: poison.LevelShared}}}
+}
+
+// TestCrashingRequestComesForHours guards against a request that crashes three more endpoints each time its record expires while it still comes.
+func TestCrashingRequestComesForHours(t *testing.T) {
+	for _, every := range []time.Duration{time.Second, 3 * time.Minute, 50 * time.Minute} {
+		h := New(Settings{Headers: testHeaders}, nil, nil, nil, nil, quietLog())
+		now, runs := time.Now(), 0
+		for end := now.Add(12 * time.Hour); now.Before(end); now = now.Add(every) {
+			c := &call{in: httptest.NewRequest(http.MethodPost, "/a/x", strings.NewReader("")), body: []byte("deadly"), partKeys: []string{"p"}}
+			_, request := h.poisonTracker.blockedRequest(c, now)
+			_, part := h.poisonTracker.blockedPart(c, now)
+			if request != part {
+				t.Fatalf("every %v: after %d runs the request is blocked: %v, its part: %v", every, runs, request, part)
+			}
+			if request {
+				continue
+			}
+			runs++
+			h.poisonTracker.add(crashOf(c, fmt.Sprint(runs), now), now)
+			h.poisonTracker.suspects.Crashed(c.partKeys, fmt.Sprint(runs), now)
+		}
+		if runs != maxCrashes {
+			t.Errorf("every %v: %d runs in 12 hours, want %d", every, runs, maxCrashes)
+		}
+	}
+}
+
+// TestBlockedRequestTried guards against a request that stays blocked for good though it no longer crashes endpoints, and against more trials than were granted.
+func TestBlockedRequestTried(t *testing.T) {
+	e := startEndpoint(t, serveOK)
+	g := startGateway(t, fleet.AtMostOnce, false, e)
+	d := &fakeDurable{records: resume.NewRecords(), h: g.handler}
+	g.handler.cfg.Durable = d
+	g.handler.RestoreCrashes(nil)
+	send := func() int {
+		a, err := g.do(t.Context(), t, http.MethodPost, "/a/x", nil, "deadly")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a.status
+	}
+	c := &call{in: httptest.NewRequest(http.MethodPost, "http://test.example/a/x", nil), body: []byte("deadly")}
+	c.in.RequestURI = "/a/x"
+	for i := range maxCrashes {
+		g.handler.poisonTracker.add(crashOf(c, fmt.Sprint(i), time.Now()), time.Now())
+	}
+	if s := send(); s != http.StatusServiceUnavailable || d.trials.Load() != 0 {
+		t.Fatalf("status %d, %d claims; the request isn't blocked", s, d.trials.Load())
+	}
+	age := func() {
+		g.handler.poisonTracker.mu.Lock()
+		defer g.handler.poisonTracker.mu.Unlock()
+		b := g.handler.poisonTracker.blocks[c.fingerprint()]
+		b.triedAt = b.triedAt.Add(-trialInterval)
+		g.handler.poisonTracker.blocks[c.fingerprint()] = b
+	}
+	age()
+	for range 5 {
+		if s := send(); s != http.StatusServiceUnavailable {
+			t.Errorf("status %d without a trial", s)
+		}
+	}
+	if n := d.trials.Load(); n != 1 {
+		t.Errorf("%d claims in one interval", n)
+	}
+	age()
+	d.grant.Store(true)
+	if s := send(); s != http.StatusOK {
+		t.Errorf("status %d in the trial", s)
+	}
+	if s := send(); s != http.StatusOK {
+		t.Errorf("status %d after a trial that was answered", s)
+	}
+	if e.requests.Load() != 2 {
+		t.Errorf("%d requests reached the endpoint", e.requests.Load())
+	}
+}
+
+// TestKeptCrashes guards against crash records that are kept without end, or that come back after they were cleared.
+func TestKeptCrashes(t *testing.T) {
+	h := New(Settings{Headers: testHeaders}, nil, nil, nil, NewMetrics(prometheus.NewRegistry()), quietLog())
+	d := &fakeDurable{h: h}
+	h.cfg.Durable = d
+	now := time.Now()
+	for i := range 1000 {
+		rec := poison.CrashRecord{Fingerprint: fmt.Sprint("f", i), ExpiresAt: now.Add(time.Minute), Crashes: []poison.Crash{{ID: "1", Level: poison.LevelShared}}}
+		if i == 7 {
+			rec.Crashes = append(rec.Crashes, poison.Crash{ID: "2", Level: poison.LevelShared})
+		}
+		h.MergeCrashRecord(rec)
+	}
+	kept := h.KeptCrashes(now)
+	if len(kept) != poison.MaxKept || kept[0].Fingerprint != "f7" {
+		t.Fatalf("%d records are kept, first %s", len(kept), kept[0].Fingerprint)
+	}
+	if d.saves.Load() != 0 {
+		t.Error("another gateway's crashes are saved here too")
+	}
+	h.MergeCrashRecord(kept[0].WithCrashesCleared(now.Add(time.Minute)))
+	if d.saves.Load() != 1 {
+		t.Error("a record that was cleared stays in the store")
+	}
+	if kept := h.KeptCrashes(now); kept[0].Fingerprint == "f7" {
+		t.Error("a cleared record is kept")
+	}
+}
+
 // TestResumptionWithoutKeepers guards against a stream that can't be taken up at another gateway because the keepers that held its record have ended.
 func TestResumptionWithoutKeepers(t *testing.T) {
 	f := newVersionFleet(t, "one", "two")
 	a, b := f.gateway("z0", 1), f.gateway("z1", 1)
 	d := &fakeDurable{records: resume.NewRecords(), h: b.handler}
 	a.handler.cfg.Durable, b.handler.cfg.Durable = d, d
+	for _, g := range []*versionGateway{a, b} {
+		g.handler.RestoreCrashes(nil)
+	}
 	f.breaks.Store(1)
 	f.call(a, "first", "")
 	f.keepers.forgotten.Store(true)
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -195,6 +195,8 @@
 	order events.Order
 	// resumes is what is known of the stream that the request resumes, nil if it begins one.
 	resumes *resume.Evidence
+	// trial is set on a blocked request that runs to see whether it still crashes endpoints.
+	trial bool
 	// bound is set while only endpoints of the software version may get the request, and confirmed
 	// once the store has said since the request came which version each is of.
 	bound, confirmed bool
--- a/internal/transport/proxy/poison.go
+++ b/internal/transport/proxy/poison.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,10 +16,24 @@
 	// maxCrashes is the number of crashes from which equal requests are blocked; the platform
 	// allows a request to bring down three endpoints.
 	maxCrashes = 3
-	// crashRecordTTL is how long a crash record lasts without an update.
-	crashRecordTTL = 2 * time.Minute
+	// crashRecordTTL is how long a crash record lasts after its newest crash, and that of a blocked
+	// request after the last request that it blocked.
+	crashRecordTTL = poison.RecordTTL
+	// blockResend is the pause between two messages to the other gateways about a blocked request or
+	// part, while such requests come. They reach gateways that were cut off or have just started.
+	blockResend = time.Second
+	// blockSave is the pause between two writes of a block that goes on, a fraction of its record's
+	// life.
+	blockSave = crashRecordTTL / 6
+	// trialInterval is the pause between two attempts to claim that a blocked request runs once.
+	trialInterval = 10 * time.Minute
+	// maxBlocks bounds the blocks that are known.
+	maxBlocks = 1024
 )
 
+// block is what a gateway did about a blocked request or part.
+type block struct{ sentAt, savedAt, triedAt time.Time }
+
 // poisonTracker keeps the crash records of suspect requests, by fingerprint. A broken
 // connection doesn't prove a crash, but a harmless request is unlikely to meet three.
 type poisonTracker struct {
@@ -26,12 +41,17 @@
 	registry *poison.Registry
 	size     int
 	suspects *poison.Suspects
-	// blockSentAt is when this gateway last told the others of a blocked part.
-	blockSentAt map[string]time.Time
+	// blocks holds what this gateway blocks, by fingerprint.
+	blocks map[string]block
+	// kept lists the fingerprints of the records that were last returned to outlive the process.
+	kept map[string]bool
+	// restored is closed once the records that outlived earlier processes were read.
+	restored    chan struct{}
+	restoreOnce sync.Once
 }
 
 func newPoisonTracker() *poisonTracker {
-	return &poisonTracker{registry: poison.New(), suspects: poison.NewSuspects(), blockSentAt: map[string]time.Time{}}
+	return &poisonTracker{registry: poison.New(), suspects: poison.NewSuspects(), blocks: map[string]block{}, restored: make(chan struct{})}
 }
 
 // fingerprint identifies requests with the same method, host, target and body.
@@ -45,26 +65,85 @@
 	return c.cachedFingerprint
 }
 
-// blocked reports whether equal requests have broken maxCrashes connections.
-func (t *poisonTracker) blocked(c *call, now time.Time) bool {
+// blockedRequest returns the crash record of requests that have broken maxCrashes connections, and
+// false if this one is none of them. A record lasts as long as such requests come.
+func (t *poisonTracker) blockedRequest(c *call, now time.Time) (poison.CrashRecord, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.size == 0 {
-		return false
+		return poison.CrashRecord{}, false
 	}
 	rec, ok := t.registry.Get(c.fingerprint(), now)
-	return ok && unclearedCrashes(rec) >= maxCrashes
+	if !ok || rec.Uncleared() < maxCrashes {
+		return poison.CrashRecord{}, false
+	}
+	rec.ExpiresAt = now.Add(crashRecordTTL)
+	t.registry.Extend(rec.Fingerprint, rec.ExpiresAt)
+	return rec, true
+}
+
+// blockedPart returns the crash record of a part of the request's prompt that crashes endpoints, and
+// false if there is none.
+func (t *poisonTracker) blockedPart(c *call, now time.Time) (poison.CrashRecord, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	part := t.suspects.Blocked(c.partKeys, now)
+	if part == "" {
+		return poison.CrashRecord{}, false
+	}
+	t.suspects.Extend(part, now.Add(poison.PartRecordTTL))
+	return t.suspects.Record(part), true
 }
 
-// unclearedCrashes counts the crashes that no complete response to an equal request followed.
-func unclearedCrashes(rec poison.CrashRecord) int {
-	n := 0
-	for _, c := range rec.Crashes {
-		if c.Level != poison.LevelCleared {
-			n++
+// noteBlock records that a request is blocked, and returns what is due for its record: to send it to
+// the other gateways, to save it again, and to ask whether the request may run once.
+func (t *poisonTracker) noteBlock(fingerprint string, now time.Time) (send, save, try bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, known := t.blocks[fingerprint]
+	if !known {
+		if len(t.blocks) >= maxBlocks {
+			clear(t.blocks)
 		}
+		b = block{savedAt: now, triedAt: now}
+	}
+	send, save, try = now.Sub(b.sentAt) >= blockResend, now.Sub(b.savedAt) >= blockSave, now.Sub(b.triedAt) >= trialInterval
+	if send {
+		b.sentAt = now
+	}
+	if save {
+		b.savedAt = now
+	}
+	if try {
+		b.triedAt = now
 	}
-	return n
+	t.blocks[fingerprint] = b
+	return send, save, try
+}
+
+// blocked reports whether a request would crash the endpoint that runs it.
+func (h *Handler) blocked(c *call, now time.Time) bool {
+	if c.trial {
+		return false
+	}
+	rec, blocked := h.poisonTracker.blockedRequest(c, now)
+	if !blocked {
+		rec, blocked = h.poisonTracker.blockedPart(c, now)
+	}
+	if !blocked {
+		return false
+	}
+	send, save, try := h.poisonTracker.noteBlock(rec.Fingerprint, now)
+	if send {
+		h.log.WithFields(logrus.Fields{"request": c.id, "fingerprint": rec.Fingerprint, "prompt": c.in.Header.Get(h.cfg.Headers.PromptPrefix), "crashes": rec.Uncleared()}).
+			Warn("requests are rejected because they crash endpoints")
+		h.control.BroadcastCrashRecords([]poison.CrashRecord{rec})
+	}
+	if save {
+		h.saveCrashes()
+	}
+	c.trial = try && h.claimTrial(c, rec.Fingerprint)
+	return !c.trial
 }
 
 // add merges a crash record of this gateway or another one. It returns the merged record and
@@ -89,10 +168,11 @@
 	merged, _ := h.poisonTracker.add(rec, now)
 	h.metrics.crashRecords.WithLabelValues("own").Inc()
 	h.log.WithFields(logrus.Fields{
-		"request": c.id, "endpoint": c.choice.ID, "fingerprint": rec.Fingerprint, "crashes": unclearedCrashes(merged),
+		"request": c.id, "endpoint": c.choice.ID, "fingerprint": rec.Fingerprint, "crashes": merged.Uncleared(),
 		"prompt": c.in.Header.Get(h.cfg.Headers.PromptPrefix), "events": c.timeToFirstEvent > 0,
 	}).Info("crash recorded")
 	h.control.BroadcastCrashRecords([]poison.CrashRecord{rec})
+	h.saveCrashes()
 }
 
 // clearCrashes clears the crashes of a suspect request that has a complete response.
@@ -104,12 +184,25 @@
 	}
 	rec, ok := h.poisonTracker.registry.Get(c.fingerprint(), now)
 	h.poisonTracker.mu.Unlock()
-	if !ok || unclearedCrashes(rec) == 0 {
+	if !ok || rec.Uncleared() == 0 {
 		return
 	}
 	rec = rec.WithCrashesCleared(now.Add(crashRecordTTL))
 	h.poisonTracker.add(rec, now)
 	h.control.BroadcastCrashRecords([]poison.CrashRecord{rec})
+	h.saveCleared([]poison.CrashRecord{rec})
+}
+
+// saveCleared saves the crash records anew if some that were cleared are among those kept, so that
+// these don't come back with the next processes.
+func (h *Handler) saveCleared(recs []poison.CrashRecord) {
+	t := h.poisonTracker
+	t.mu.Lock()
+	kept := slices.ContainsFunc(recs, func(rec poison.CrashRecord) bool { return rec.Uncleared() == 0 && t.kept[rec.Fingerprint] })
+	t.mu.Unlock()
+	if kept {
+		h.saveCrashes()
+	}
 }
 
 // MergeCrashRecord merges another gateway's crash record of a suspect request or prompt part.
@@ -120,8 +213,10 @@
 		return
 	}
 	rec.ExpiresAt = now.Add(crashRecordTTL)
-	if merged, news := h.poisonTracker.add(rec, now); news {
+	merged, news := h.poisonTracker.add(rec, now)
+	if news {
+		h.saveCleared([]poison.CrashRecord{merged})
 		h.metrics.crashRecords.WithLabelValues("received").Inc()
-		h.log.WithFields(logrus.Fields{"fingerprint": rec.Fingerprint, "crashes": unclearedCrashes(merged)}).Info("crash record received")
+		h.log.WithFields(logrus.Fields{"fingerprint": rec.Fingerprint, "crashes": merged.Uncleared()}).Info("crash record received")
 	}
 }
