soak: many processes killed at once, a request that crashes endpoints, clocks that jump

A loss of processes excuses streams only beside harm to the store, and resumptions around losses are judged by themselves too.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,7 @@
 	keyRevoke
 	gatewayRefusal
 	largeChange
+	herdKill
 )
 
 // String returns the kind's name in reports.
@@ -47,7 +48,7 @@
 	return [...]string{
 		"store_fault", "way_harm", "endpoint_kill", "endpoint_drain", "gateway_term", "gateway_kill", "gateway_pause",
 		"keeper_kill", "keeper_pause", "power_loss", "new_route", "history_drop", "", "store_restore", "rate_limit", "endpoint_leave", "endpoint_pause",
-		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke", "gateway_refusal", "large_change",
+		"rollout", "gateways_kill", "gateways_freeze", "key_change", "quota_change", "key_revoke", "gateway_refusal", "large_change", "herd_kill",
 	}[k]
 }
 
@@ -122,6 +123,7 @@
 		switch e.kind {
 		case endpointKill:
 			all[i].Kill()
+			s.stepClock(all[i], e)
 			time.Sleep(e.duration)
 		case endpointLeave:
 			all[i].Leave(drainPeriod + leaveStretch*e.duration)
@@ -165,6 +167,8 @@
 		s.refuseGateway(e)
 	case largeChange:
 		s.changeLargeConfig(e)
+	case herdKill:
+		s.killHerd(e)
 	case newRoute:
 		s.env.AddRoute()
 	case historyDrop:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -30,6 +30,9 @@
 	meanRefusalInterval = 4 * time.Second
 	// meanLargeChangeInterval is the mean time between large configurations.
 	meanLargeChangeInterval = 3 * time.Second
+	// meanHerdKillInterval is the mean time between losses of many processes at once; some of them
+	// recover in peace.
+	meanHerdKillInterval = 5 * time.Second
 	// meanRevokeInterval is the mean time between keys that are removed while a gateway is cut off,
 	// each of which takes six seconds or more.
 	meanRevokeInterval = 6 * time.Second
@@ -99,6 +102,10 @@
 	return scheduleKind(largeChange, 13, seed, length, meanLargeChangeInterval)
 }
 
+func scheduleHerdKills(seed uint64, length time.Duration) []faultEvent {
+	return scheduleKind(herdKill, 14, seed, length, meanHerdKillInterval)
+}
+
 // scheduleAll returns all faults of a run, ordered by time.
 func scheduleAll(cfg Settings) []faultEvent {
 	if cfg.DisableFaults {
@@ -121,6 +128,7 @@
 		{cfg.StrictRevocation, scheduleRevokes},
 		{cfg.Refusals, scheduleRefusals},
 		{cfg.LargeConfigs, scheduleLargeChanges},
+		{cfg.HerdKills, scheduleHerdKills},
 	} {
 		if kind.on {
 			events = append(events, kind.list(cfg.Seed, cfg.InjectionDuration)...)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -60,6 +60,12 @@
 	Refusals bool
 	// LargeConfigs adds large configurations, which reach every other gateway over a thin link.
 	LargeConfigs bool
+	// HerdKills adds losses of many processes at once, some of them twice in a row.
+	HerdKills bool
+	// Crashing adds a caller whose request crashes each endpoint that runs it.
+	Crashing bool
+	// ClockSteps lets the time of day on an endpoint's machine jump when the endpoint starts again.
+	ClockSteps bool
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -94,7 +100,9 @@
 	// powerLosses are the periods in which all processes were killed at once.
 	powerLosses []span
 	rotation    []*proc
-	errs        []error
+	// crashing are the requests that crash endpoints.
+	crashing []crashingRun
+	errs     []error
 }
 
 // Run runs the load and the fault schedule of one seed. Violated rules are in the report; the
@@ -145,6 +153,9 @@
 	for i := range s.cfg.Clients {
 		load.Go(func() { s.client(lctx, i) })
 	}
+	if s.cfg.Crashing {
+		load.Go(func() { s.sendCrashing(lctx) })
+	}
 	began := time.Now()
 	for _, e := range events {
 		if wait(ctx, time.Until(began.Add(e.at))) != nil {
@@ -163,6 +174,7 @@
 	s.checkRateLimits()
 	s.checkNotices()
 	s.checkResumptions()
+	s.checkCrashing()
 	s.checkGroups()
 	for _, p := range s.procs() {
 		if p.unexpectedExits > 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,6 +61,7 @@
 				Binary: bin, Seed: seed, InjectionDuration: length, Restores: slices.Contains(f, "+restores"),
 				RateLimits: slices.Contains(f, "+limits"), Leaves: slices.Contains(f, "+leaves"), Pauses: slices.Contains(f, "+pauses"),
 				Versions: slices.Contains(f, "+versions"), Keys: slices.Contains(f, "+keys"), StrictRevocation: slices.Contains(f, "+revocation"), Quotas: slices.Contains(f, "+quotas"), Refusals: slices.Contains(f, "+refusals"), LargeConfigs: slices.Contains(f, "+large"),
+				HerdKills: slices.Contains(f, "+herds"), Crashing: slices.Contains(f, "+crashing"), ClockSteps: slices.Contains(f, "+clocks"),
 			})
 		})
 	}
@@ -123,7 +124,7 @@
 }
 
 func TestScheduleKinds(t *testing.T) {
-	for kind, schedule := range map[faultKind]func(uint64, time.Duration) []faultEvent{storeRestore: scheduleRestores, rateLimit: scheduleRateLimits, endpointLeave: scheduleLeaves, endpointPause: schedulePauses, rollout: scheduleRollouts, gatewaysKill: scheduleGatewayKills, gatewaysFreeze: scheduleGatewayFreezes, keyChange: scheduleKeyChanges, quotaChange: scheduleQuotaChanges, keyRevoke: scheduleRevokes, gatewayRefusal: scheduleRefusals, largeChange: scheduleLargeChanges} {
+	for kind, schedule := range map[faultKind]func(uint64, time.Duration) []faultEvent{storeRestore: scheduleRestores, rateLimit: scheduleRateLimits, endpointLeave: scheduleLeaves, endpointPause: schedulePauses, rollout: scheduleRollouts, gatewaysKill: scheduleGatewayKills, gatewaysFreeze: scheduleGatewayFreezes, keyChange: scheduleKeyChanges, quotaChange: scheduleQuotaChanges, keyRevoke: scheduleRevokes, gatewayRefusal: scheduleRefusals, largeChange: scheduleLargeChanges, herdKill: scheduleHerdKills} {
 		count := 0
 		for seed := range uint64(40) {
 			list := schedule(seed, 20*time.Second)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -63,13 +63,13 @@
 	defer done()
 	var wg sync.WaitGroup
 	for _, i := range chosen {
-		wg.Go(func() { s.replaceEngine(i, next, form == 0, e.duration) })
+		wg.Go(func() { s.replaceEngine(i, next, form == 0, e) })
 	}
 	wg.Wait()
 }
 
 // replaceEngine ends an engine and starts it with another version.
-func (s *soak) replaceEngine(i int, version string, kill bool, d time.Duration) {
+func (s *soak) replaceEngine(i int, version string, kill bool, e faultEvent) {
 	slot := len(s.env.PlainEndpoints) + i
 	if !s.reserve(&s.busyEndpoints, slot) {
 		return
@@ -78,10 +78,11 @@
 	x := s.env.EngineEndpoints[i]
 	if kill {
 		x.Kill()
-		time.Sleep(d / 4)
+		time.Sleep(e.duration / 4)
 	} else {
 		x.Drain(drainPeriod + drainLinger)
 	}
+	s.stepClock(x, e)
 	x.SetNextVersion(version, kill)
 	s.recordError(x.Start())
 }
@@ -144,10 +145,18 @@
 	return time.Duration(1 + r.Int64N(int64(cutTime)))
 }
 
-// checkResumptions checks that streams were resumed. A loss of power takes all records of streams
-// with it, and harm to the link of one endpoint may concern one version alone.
+// checkResumptions checks that streams were resumed, over the whole run and, so that many others don't
+// hide them, among those around losses of processes alone. If all processes end while the store is
+// harmed, records may be lost with them, and harm to the link of one endpoint may concern one version
+// alone.
 func (s *soak) checkResumptions() {
-	s.env.Checker.CheckResumptions(func(_ string, from, to time.Time) bool {
-		return s.faultDuring(&s.powerLosses, from.Add(-resumeTimeout), to) || s.faultDuring(&s.linkFaults, from, to)
-	})
+	excused := func(afterLoss bool) func(string, time.Time, time.Time) bool {
+		return func(_ string, from, to time.Time) bool {
+			since := from.Add(-resumeTimeout)
+			loss, harmed := s.faultDuring(&s.powerLosses, since, to), s.faultDuring(&s.storeFaults, since, to)
+			return loss && harmed || afterLoss && !loss || s.faultDuring(&s.linkFaults, from, to)
+		}
+	}
+	s.env.Checker.CheckResumptions(excused(false))
+	s.env.Checker.CheckResumptions(excused(true))
 }
