control: test of records that a planner which ends was handed

A gateway hands records of streams over to the planner; if that ends before it has written them, the gateway writes them itself. The store's stand-in of the package's tests lists rows, which it did not.

--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -31,7 +32,18 @@
 	version uint64
 }
 
-func (r *rows) Read(context.Context, string) (store.Snapshot, error) { return store.Snapshot{}, nil }
+func (r *rows) Read(_ context.Context, prefix string) (store.Snapshot, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out store.Snapshot
+	for key, row := range r.rows {
+		if strings.HasPrefix(key, prefix) {
+			row.Key = key
+			out.Rows = append(out.Rows, row)
+		}
+	}
+	return out, nil
+}
 
 func (r *rows) Get(_ context.Context, key string) (store.Row, error) {
 	r.mu.Lock()
