watch: the last write of an incarnation may arrive after the first of the next one

A gateway went by an incarnation that had ended for up to 6 s, with its software version, if its last heartbeat reached the store after the first write of the incarnation that followed.

Cause: the return of the incarnation before was taken as the proof that the write in between was late. Either of the two may be.

Change: from the first write of another incarnation on, the newest one is the first that writes a second time. Until then the registration is unconfirmed.

TestLateWriteAfterRestart failed before (610 ms after the late write the gateway went by it). Four rows of TestSuccession follow: the doubt lasts a heartbeat longer in them, and two are new.

--- a/internal/coordination/watch/succession.go
+++ b/internal/coordination/watch/succession.go
@@ -15,8 +15,10 @@
 	// lapsedAfter is the silence of an incarnation after which one that it had replaced is believed
 	// again: three missed heartbeats.
 	lapsedAfter = 3600 * time.Millisecond
-	// maxReplaced bounds the replaced incarnations that are known of one endpoint.
+	// maxReplaced bounds the replaced incarnations that are known of one endpoint, and maxClaims those
+	// that may be the newest one.
 	maxReplaced = 8
+	maxClaims   = 8
 )
 
 // succession is what is known of the order of the incarnations that use one id. Their times of start
@@ -24,58 +26,82 @@
 // that lives writes its registration again with each heartbeat, while a late write of one that has
 // ended stays the only one. It is immutable.
 type succession struct {
-	// before is the registration that an unconfirmed one replaced.
-	before fleet.Endpoint
-	// firstWrite is the revision of the unconfirmed incarnation's first write.
-	firstWrite uint64
+	// claims are the incarnations of which one is the newest, while that isn't known: the first that
+	// writes a second time.
+	claims []claim
+	// before is the newest incarnation that was known, and leaving is set if it or one of claims leaves.
+	before  fleet.IncarnationID
+	leaving bool
 	// replaced lists incarnations that have ended, the latest one last.
 	replaced []fleet.IncarnationID
 	// writtenAt is when a write of the newest incarnation was last read.
 	writtenAt time.Time
 }
 
-func (s succession) isEmpty() bool { return s.before.ID == "" && len(s.replaced) == 0 }
+// claim is the first write of an incarnation since the newest one isn't known.
+type claim struct {
+	id       fleet.IncarnationID
+	revision uint64
+	readAt   time.Time
+}
+
+func (s succession) isEmpty() bool { return len(s.claims) == 0 && len(s.replaced) == 0 }
 
 // register returns the registration to use once e was read while old was in use.
 func (s succession) register(old, e fleet.Endpoint, now time.Time) (fleet.Endpoint, succession) {
-	switch id := e.IncarnationID(); {
-	case id == old.IncarnationID():
-		return s.repeat(old, e, now)
-	case old.Unconfirmed && id == s.before.IncarnationID():
-		// The write in between was late.
-		e.ListedAt = s.before.ListedAt
-		return e, s.replace(old, e, now)
-	case slices.Contains(s.replaced, id) && now.Sub(s.writtenAt) < lapsedAfter:
-		return old, s
-	default:
-		e.ListedAt, e.Unconfirmed = now, true
-		s.before, s.firstWrite, s.writtenAt = old, e.Revision, now
-		// The endpoint may still be the one that leaves.
-		e.Leaving = e.Leaving || old.Leaving
+	same := e.IncarnationID() == old.IncarnationID()
+	if e.ListedAt = now; same {
+		e.ListedAt = old.ListedAt
+	}
+	switch {
+	case !old.Unconfirmed && same:
+		s.writtenAt = now
 		return e, s
+	case s.hasEnded(e.IncarnationID()) && now.Sub(s.writtenAt) < lapsedAfter:
+		return old, s
+	case !old.Unconfirmed:
+		s.claims, s.before, s.leaving = nil, old.IncarnationID(), old.Leaving
 	}
+	return s.claim(e, now)
+}
+
+// hasEnded reports whether an incarnation was replaced and has made no claim since.
+func (s succession) hasEnded(id fleet.IncarnationID) bool {
+	return slices.Contains(s.replaced, id) && !slices.ContainsFunc(s.claims, func(c claim) bool { return c.id == id })
 }
 
-// repeat takes a further registration of the incarnation in use, which confirms it if it is of a later
-// write than the first.
-func (s succession) repeat(old, e fleet.Endpoint, now time.Time) (fleet.Endpoint, succession) {
-	e.ListedAt, s.writtenAt = old.ListedAt, now
+// claim takes a write while the newest incarnation isn't known.
+func (s succession) claim(e fleet.Endpoint, now time.Time) (fleet.Endpoint, succession) {
+	id := e.IncarnationID()
+	i := slices.IndexFunc(s.claims, func(c claim) bool { return c.id == id })
 	switch {
-	case !old.Unconfirmed:
-		return e, s
-	case e.Revision == s.firstWrite || now.Sub(old.ListedAt) < confirmSpan:
-		e.Unconfirmed, e.Leaving = true, e.Leaving || s.before.Leaving
-		return e, s
-	default:
-		return e, s.replace(s.before, e, now)
+	case i < 0:
+		s.claims = append(slices.Clone(s.claims[max(0, len(s.claims)+1-maxClaims):]), claim{id, e.Revision, now})
+	case e.Revision != s.claims[i].revision && now.Sub(s.claims[i].readAt) >= confirmSpan:
+		return e, s.confirm(id, now)
 	}
+	s.writtenAt, s.leaving = now, s.leaving || e.Leaving
+	e.Unconfirmed, e.Leaving = true, s.leaving
+	return e, s
 }
 
-// replace returns the succession once it is known that one incarnation has ended and another lives.
-func (s succession) replace(ended, living fleet.Endpoint, now time.Time) succession {
-	replaced := slices.DeleteFunc(slices.Clone(s.replaced), func(id fleet.IncarnationID) bool {
-		return id == ended.IncarnationID() || id == living.IncarnationID()
-	})
-	replaced = append(replaced, ended.IncarnationID())
-	return succession{replaced: replaced[max(0, len(replaced)-maxReplaced):], writtenAt: now}
+// confirm returns the succession once it is known which incarnation is the newest one: the others have
+// ended.
+func (s succession) confirm(newest fleet.IncarnationID, now time.Time) succession {
+	ended := append(slices.Clone(s.replaced), s.before)
+	for _, c := range s.claims {
+		ended = append(ended, c.id)
+	}
+	return succession{replaced: latest(ended, newest), writtenAt: now}
+}
+
+// latest returns the newest maxReplaced of some incarnations, each once and without one that lives.
+func latest(ended []fleet.IncarnationID, living fleet.IncarnationID) []fleet.IncarnationID {
+	var out []fleet.IncarnationID
+	for i, id := range ended {
+		if id != living && !slices.Contains(ended[i+1:], id) {
+			out = append(out, id)
+		}
+	}
+	return out[max(0, len(out)-maxReplaced):]
 }
