watch: an incarnation is confirmed by what the planner reads, without own reads

No two versions served, so that they weren't records of streams; each endpoint that started again under its id made every gateway read the registrations every 0.6 s until the doubt was over.

Change: a gateway that follows the planner's observations goes on doing so. It takes the incarnation in use for the newest one once nothing else was written for 3 s. The planner reads every 0.6 s anyway and confirms by the second write.

--- a/internal/coordination/watch/observation.go
+++ b/internal/coordination/watch/observation.go
@@ -133,7 +133,9 @@
 				return reg, version
 			}
 			now := time.Now()
-			reg.confirmedAt, newest = now, obs.StoreVersion
+			var confirmed bool
+			reg, confirmed = reg.withObservation(now)
+			newest = obs.StoreVersion
 			if reg.listBytes < largeListBytes {
 				version = 0
 			}
@@ -141,10 +143,13 @@
 			if due = now.Add(time.Duration(observationWaitFactor * float64(w.timing.EndpointPoll))); due.After(limit) {
 				due = limit
 			}
-			w.update(func(v *View) {
+			seen := w.update(func(v *View) {
 				v.recordGap(now, lease.SuspendedTime())
-				v.StoreVersion = obs.StoreVersion
+				v.StoreVersion, v.Endpoints = obs.StoreVersion, reg.endpoints
 			})
+			if confirmed && w.onChange != nil {
+				w.onChange(seen)
+			}
 		case <-t.C:
 			return reg, version
 		case <-w.reads.wanted:
--- a/internal/coordination/watch/registry.go
+++ b/internal/coordination/watch/registry.go
@@ -101,12 +101,19 @@
 	r.successions[e.ID] = s
 }
 
-// unconfirmed reports whether some endpoint's newest incarnation isn't known.
-func (r registry) unconfirmed() bool {
-	for id := range r.successions {
-		if r.endpoints[id].Unconfirmed {
-			return true
+// withObservation returns the registry after another process observed the same endpoints, and whether
+// that confirms registrations.
+func (r registry) withObservation(now time.Time) (next registry, confirmed bool) {
+	r.confirmedAt = now
+	for id, s := range r.successions {
+		e, s, ok := s.lapse(r.endpoints[id], now)
+		if !ok {
+			continue
+		}
+		if !confirmed {
+			r.endpoints, r.successions, confirmed = maps.Clone(r.endpoints), maps.Clone(r.successions), true
 		}
+		r.endpoints[id], r.successions[id] = e, s
 	}
-	return false
+	return r, confirmed
 }
--- a/internal/coordination/watch/succession.go
+++ b/internal/coordination/watch/succession.go
@@ -15,6 +15,9 @@
 	// lapsedAfter is the silence of an incarnation after which one that it had replaced is believed
 	// again: three missed heartbeats.
 	lapsedAfter = 3600 * time.Millisecond
+	// othersLapsedAfter is the silence of all others after which an incarnation is taken for the newest
+	// one without a second write of its own: two heartbeats and a read.
+	othersLapsedAfter = 3 * time.Second
 	// maxReplaced bounds the replaced incarnations that are known of one endpoint, and maxClaims those
 	// that may be the newest one.
 	maxReplaced = 8
@@ -32,6 +35,8 @@
 	// before is the newest incarnation that was known, and leaving is set if it or one of claims leaves.
 	before  fleet.IncarnationID
 	leaving bool
+	// ownLeaving is set if the registration in use says itself that it leaves.
+	ownLeaving bool
 	// replaced lists incarnations that have ended, the latest one last.
 	replaced []fleet.IncarnationID
 	// writtenAt is when a write of the newest incarnation was last read.
@@ -80,11 +85,21 @@
 	case e.Revision != s.claims[i].revision && now.Sub(s.claims[i].readAt) >= confirmSpan:
 		return e, s.confirm(id, now)
 	}
-	s.writtenAt, s.leaving = now, s.leaving || e.Leaving
+	s.writtenAt, s.leaving, s.ownLeaving = now, s.leaving || e.Leaving, e.Leaving
 	e.Unconfirmed, e.Leaving = true, s.leaving
 	return e, s
 }
 
+// lapse returns the registration in use as a confirmed one if nothing but it was written for long, as
+// other processes observed that read more often.
+func (s succession) lapse(inUse fleet.Endpoint, now time.Time) (fleet.Endpoint, succession, bool) {
+	if !inUse.Unconfirmed || now.Sub(s.writtenAt) < othersLapsedAfter {
+		return inUse, s, false
+	}
+	inUse.Unconfirmed, inUse.Leaving = false, s.ownLeaving
+	return inUse, s.confirm(inUse.IncarnationID(), now), true
+}
+
 // confirm returns the succession once it is known which incarnation is the newest one: the others have
 // ended.
 func (s succession) confirm(newest fleet.IncarnationID, now time.Time) succession {
--- a/internal/coordination/watch/watch.go
+++ b/internal/coordination/watch/watch.go
@@ -326,8 +326,7 @@
 		if time.Since(began) < startupPeriod {
 			pause = min(pause, startupPoll)
 		}
-		if w.timing.OwnReadInterval <= 0 || reg.unconfirmed() {
-			// Only own reads show whether an incarnation writes again.
+		if w.timing.OwnReadInterval <= 0 {
 			sleepUntil(ctx, pause, w.reads.wanted)
 			continue
 		}
