keep: calls of a store that doesn't answer become rare

Calls of the store cost callers' worth, refused ones too.

Change: the pause doubles with each call that fails, up to 3.2 s.

--- a/internal/coordination/keep/crashes.go
+++ b/internal/coordination/keep/crashes.go
@@ -75,7 +75,7 @@
 func (c *Crashes) Run(ctx context.Context, source func(now time.Time) []poison.CrashRecord, interval func() time.Duration) {
 	tick := time.NewTicker(retryDelay)
 	defer tick.Stop()
-	era, written := storeTime(c.table).Era, false
+	era, written, failures := storeTime(c.table).Era, false, 0
 	for {
 		select {
 		case <-c.wake:
@@ -91,10 +91,11 @@
 		if err := c.write(ctx, source(time.Now()), newStamp(at)); err != nil {
 			c.log.WithError(err).Debug("the crash records were not written")
 			c.Changed()
-			sleep(ctx, retryDelay)
+			failures++
+			sleep(ctx, delayAfter(failures))
 			continue
 		}
-		era, written = at.Era, true
+		era, written, failures = at.Era, true, 0
 		sleep(ctx, interval())
 	}
 }
--- a/internal/coordination/keep/keep_test.go
+++ b/internal/coordination/keep/keep_test.go
@@ -211,7 +211,7 @@
 		a.put(1101, 1200)
 		time.Sleep(3 * time.Second)
 		tb.set(func() { tb.refuses = false })
-		time.Sleep(time.Second)
+		time.Sleep(maxRetryDelay)
 		a.kill()
 		if c := startStreams(t, tb, "c"); c.has(1000, 1200) != 200 {
 			t.Errorf("after the store came back older and refused writes, %d of 200 records are left", c.has(1000, 1200))
@@ -360,10 +360,14 @@
 			t.Errorf("%d of 3 crashes are kept after the store came back older", n)
 		}
 		tb.set(func() { tb.refuses = true })
+		before := tb.writes()
 		keepNow([]poison.CrashRecord{crashRecord("f", "1", "2", "3", "4")})
 		time.Sleep(5 * time.Second)
+		if n := tb.writes() - before; n > 4 {
+			t.Errorf("%d writes in 5 s at a store that refuses them", n)
+		}
 		tb.set(func() { tb.refuses = false })
-		time.Sleep(2 * time.Second)
+		time.Sleep(maxRetryDelay)
 		if n := load(); n != 4 {
 			t.Errorf("%d of 4 crashes are kept after the store refused writes", n)
 		}
--- a/internal/coordination/keep/row.go
+++ b/internal/coordination/keep/row.go
@@ -79,6 +79,11 @@
 	return err
 }
 
+// delayAfter returns the pause after calls of the store that failed in a row.
+func delayAfter(failures int) time.Duration {
+	return min(retryDelay<<min(failures-1, 10), maxRetryDelay)
+}
+
 // sleep waits for a time or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/coordination/keep/streams.go
+++ b/internal/coordination/keep/streams.go
@@ -30,8 +30,10 @@
 	maxCallRows = 24
 	// refreshAfter is the time after which a stream that is put again is written again.
 	refreshAfter = resume.RecordTTL / 3
-	// retryDelay is the pause after a call of the store that failed.
-	retryDelay = 400 * time.Millisecond
+	// retryDelay is the pause after a call of the store that failed. It doubles with each further one,
+	// up to maxRetryDelay.
+	retryDelay    = 400 * time.Millisecond
+	maxRetryDelay = 3200 * time.Millisecond
 )
 
 // Streams keeps records of streams in the store's rows. A write takes what came since the last one, so
@@ -142,6 +144,7 @@
 // Run writes records until the context ends, at most once in an interval; the first one after a pause
 // is written at once. Load must have been called.
 func (s *Streams) Run(ctx context.Context, interval func() time.Duration) {
+	failures := 0
 	for ctx.Err() == nil {
 		select {
 		case <-s.wake:
@@ -152,9 +155,11 @@
 		if err := s.write(ctx, time.Now()); err != nil {
 			s.log.WithError(err).Debug("the records of streams were not written")
 			s.signal()
-			sleep(ctx, retryDelay)
+			failures++
+			sleep(ctx, delayAfter(failures))
 			continue
 		}
+		failures = 0
 		sleep(ctx, interval())
 	}
 }
--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -35,6 +35,8 @@
 	// pause after it.
 	crashReadDelay    = 500 * time.Millisecond
 	crashReadInterval = 3 * time.Second
+	// maxReadDelay bounds the pause after a read that failed, which doubles with each further one.
+	maxReadDelay = 3200 * time.Millisecond
 	// streamReadInterval is the least time between two reads of the records of streams, which many
 	// resumptions share.
 	streamReadInterval = time.Second
@@ -111,13 +113,13 @@
 
 // retry calls f until it succeeds, and returns false if the context ends first.
 func (d *durable) retry(ctx context.Context, f func(context.Context) error) bool {
-	for {
+	for delay := versionsRetryInterval; ; delay = min(2*delay, maxReadDelay) {
 		err := f(ctx)
 		if err == nil {
 			return true
 		}
 		d.plane.log.WithError(err).Debug("what earlier processes kept was not read")
-		if waitForChange(ctx, nil, versionsRetryInterval) != nil {
+		if waitForChange(ctx, nil, delay) != nil {
 			return false
 		}
 	}
