--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -26,9 +26,10 @@
 	// handedOverFor is how long a gateway keeps the records that it sent to the planner, which may
 	// have ended before it wrote them: longer than it takes to notice that.
 	handedOverFor = 2 * time.Second
-	// minCrashInterval is the pause between two writes of crash records. With many gateways it is
-	// longer, so that all of them write crashWritesPerS times a second at most.
-	minCrashInterval = 500 * time.Millisecond
+	// minCrashInterval is the pause between two writes of crash records, in which a burst of broken
+	// connections is over. With many gateways it is longer, so that all of them write
+	// crashWritesPerS times a second at most.
+	minCrashInterval = 2 * time.Second
 	crashWritesPerS  = 100
 	// crashReadDelay is the time between restarts of keepers that may have held a crash record and the
 	// read of those in the store, in which gateways write what they know, and crashReadInterval the
