watch, control: a gateway that starts goes by keepers' reports, not by rows it has just read

Change: a registration of the first read has no time of listing, so that any report goes before it. A report of another incarnation counts only if its engine answers, and from 0.6 s after the listing, the longest age of what a keeper read.

TestRegistrationsOfFirstRead, three rows of TestReportOfRestartedEngine.

--- a/internal/coordination/watch/registry.go
+++ b/internal/coordination/watch/registry.go
@@ -46,6 +46,9 @@
 	listed := make(map[string]bool, len(change.Endpoints))
 	for _, e := range change.Endpoints {
 		listed[e.ID] = true
+		if _, known := next.endpoints[e.ID]; !known && !r.confirmedAt.IsZero() {
+			e.ListedAt = now
+		}
 		next.register(e, now)
 		delete(next.uncertain, e.ID)
 	}
@@ -88,7 +91,6 @@
 func (r registry) register(e fleet.Endpoint, now time.Time) {
 	old, known := r.endpoints[e.ID]
 	if !known {
-		e.ListedAt = now
 		r.endpoints[e.ID] = e
 		return
 	}
--- a/internal/coordination/watch/registry_test.go
+++ b/internal/coordination/watch/registry_test.go
@@ -111,3 +111,13 @@
 		t.Error("an incarnation that has ended is used again")
 	}
 }
+
+// TestRegistrationsOfFirstRead guards against a gateway that goes by registrations of before a loss of power rather than by keepers' reports, because it has just read them.
+func TestRegistrationsOfFirstRead(t *testing.T) {
+	at := time.Unix(1000, 0)
+	r := registry{}.with(EndpointChange{Full: true, Endpoints: endpointList("a")}, at)
+	r = r.with(EndpointChange{Endpoints: endpointList("b")}, at.Add(time.Second))
+	if a, b := r.endpoints["a"], r.endpoints["b"]; !a.ListedAt.IsZero() || !b.ListedAt.Equal(at.Add(time.Second)) {
+		t.Errorf("listed at %v and %v", a.ListedAt, b.ListedAt)
+	}
+}
--- a/internal/state/fleet/endpoint.go
+++ b/internal/state/fleet/endpoint.go
@@ -25,7 +25,8 @@
 	SoftwareVersion string
 	// Revision is the store's version of the write that the registration is of, or 0 if not known.
 	Revision uint64
-	// ListedAt is when this process first read a registration of this incarnation.
+	// ListedAt is when this process first read a registration of this incarnation, or zero if its first
+	// read held one, which may have been written long before.
 	ListedAt time.Time
 	// Unconfirmed is set while the registration may be a late write of an incarnation that has ended:
 	// the endpoint may be one of another version.
--- a/internal/transport/control/clockstep_test.go
+++ b/internal/transport/control/clockstep_test.go
@@ -16,17 +16,22 @@
 		listed, reported     int64
 		listedAgo, reportAgo int
 		want                 bool
+		// silent is set if the engine doesn't answer its keeper.
+		silent bool
 	}{
-		{"the same", 5, 5, 9000, 100, true},
-		{"restarted since it was listed", 5, 7, 9000, 100, true},
-		{"restarted since it was listed, clock back", 5, 3, 9000, 100, true},
-		{"listed since it was restarted", 7, 5, 100, 300, false},
-		{"listed since it was restarted, clock back", 3, 5, 100, 300, false},
-		{"on its way while it was listed", 3, 5, 300, 200, false},
-		{"long ago", 5, 3, 9000, 2000, false},
+		{"the same", 5, 5, 9000, 100, true, false},
+		{"restarted since it was listed", 5, 7, 9000, 100, true, false},
+		{"restarted since it was listed, clock back", 5, 3, 9000, 100, true, false},
+		{"listed since it was restarted", 7, 5, 100, 300, false, false},
+		{"listed since it was restarted, clock back", 3, 5, 100, 300, false, false},
+		{"on its way while it was listed", 3, 5, 300, 200, false, false},
+		{"long ago", 5, 3, 9000, 2000, false, false},
+		{"of the last one that answered", 7, 5, 700, 50, false, true},
+		{"of the last one that answered, clock back", 3, 5, 700, 50, false, true},
+		{"while the keeper waited for an answer", 7, 5, 500, 50, false, false},
 	} {
 		e := fleet.Endpoint{ID: "e", Incarnation: tc.listed, ListedAt: ago(tc.listedAgo)}
-		if got := supersedes(fleet.Status{Incarnation: tc.reported, ReceivedAt: ago(tc.reportAgo)}, e, now); got != tc.want {
+		if got := supersedes(fleet.Status{Alive: !tc.silent, Incarnation: tc.reported, ReceivedAt: ago(tc.reportAgo)}, e, now); got != tc.want {
 			t.Errorf("%s: the report supersedes the registration: %v", tc.name, got)
 		}
 	}
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -49,8 +49,8 @@
 	// A registration may be as old as one heartbeat interval and one poll interval.
 	trustedReportAge = 1800 * time.Millisecond
 	// reportDelay is the time after which a report is of a read of the engine that is later than the
-	// read of a registration: the keeper reads it every 0.1 s and reports a change at once.
-	reportDelay = 200 * time.Millisecond
+	// read of a registration: the keeper reads it every 0.1 s, and waits 0.4 s for an answer.
+	reportDelay = 600 * time.Millisecond
 	// keeperSilentAfter is the age of the newest report of a keeper whose engine is in use from
 	// which its host is suspected of being frozen: more than two heartbeat intervals and the
 	// wait for a lost datagram.
@@ -350,8 +350,9 @@
 	switch {
 	case age >= maxReportAge:
 		return false
-	case other && st.ReceivedAt.Before(e.ListedAt.Add(reportDelay)):
-		// The registration was read after the keeper had read the engine.
+	case other && (!st.Alive || st.ReceivedAt.Before(e.ListedAt.Add(reportDelay))):
+		// The registration was read after the keeper had read the engine. A keeper whose engine doesn't
+		// answer goes on reporting the last incarnation that did.
 		return false
 	case other:
 		return age < trustedReportAge
