--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
 	"long-prompt":   longPrompt,
 	"first-part":    firstPart,
+	"encoded-slash": encodedSlash,
 	"equal-request": equalRequest,
 	"first-event":   firstEvent,
 	"idle-drop":     idleDrop,
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -77,6 +77,9 @@
 	srv        *http.Server
 	stopBeat   chan struct{}
 	arrivals   []arrival
+	// losesUntil is the end of the time in which answers are lost, runs counts the runs in it.
+	losesUntil time.Time
+	runs       int
 	crashes    []time.Time
 }
 
@@ -313,6 +316,11 @@
 	w.Header().Set(headerID, id)
 	if r.engine == nil {
 		time.Sleep(r.work)
+		if r.losesAnswer() {
+			r.f.rec.notef("runner %s has run %s, and its answer is lost", self, id)
+			loseAnswer(w)
+			return
+		}
 		body := "answer to " + id + "\n"
 		w.Header().Set(headerSeal, "seal."+id)
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
