--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -37,7 +37,6 @@
 	"equal-request": equalRequest,
 	"first-event":   firstEvent,
 	"idle-drop":     idleDrop,
-	"large-bodies":  largeBodies,
 }
 
 func main() { os.Exit(run()) }
