--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -68,15 +68,21 @@
 	id         string
 	born       int64
 	models     []string
-	onDisk     []string
-	sequence   int64
-	loading    string
-	loadEnd    time.Time
-	running    int
-	up         bool
-	srv        *http.Server
-	stopBeat   chan struct{}
-	arrivals   []arrival
+	// adapters are those of its first model.
+	adapters []string
+	// lateAdapter is the adapter whose next load gets no answer and is carried out late, overflows counts
+	// the orders that gave the runner more adapters than it has places for.
+	lateAdapter string
+	overflows   int
+	onDisk      []string
+	sequence    int64
+	loading     string
+	loadEnd     time.Time
+	running     int
+	up          bool
+	srv         *http.Server
+	stopBeat    chan struct{}
+	arrivals    []arrival
 	// losesUntil is the end of the time in which answers are lost, runs counts the runs in it.
 	losesUntil time.Time
 	runs       int
@@ -100,7 +106,7 @@
 	}
 	r.born, r.sequence, r.loading, r.running, r.up = time.Now().UnixMilli(), 0, "", 0, true
 	if r.starts > 1 && !r.keepModels {
-		r.models = nil
+		r.models, r.adapters = nil, nil
 	}
 	id, version := r.id, r.version
 	r.srv = &http.Server{Handler: r.handler(id, version), ReadHeaderTimeout: time.Minute, ConnState: r.observe}
@@ -197,7 +203,7 @@
 	}
 	out := []stub.Resident{}
 	for _, m := range r.models {
-		out = append(out, stub.Resident{Name: m, Version: 1, Adapters: []string{}})
+		out = append(out, stub.Resident{Name: m, Version: 1, Adapters: append([]string{}, r.adapters...)})
 	}
 	return out
 }
@@ -235,9 +241,17 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.actsLate(o) {
+		r.actLate(req, id, o)
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.residents()
+	if o.Adapter != "" {
+		w.WriteHeader(r.applyAdapter(id, o))
+		return
+	}
 	held := slices.Contains(r.models, o.Model)
 	switch {
 	case r.loading != "", o.ExpectedSequence != nil && *o.ExpectedSequence != r.sequence:
@@ -292,7 +306,7 @@
 		status = http.StatusBadRequest
 	case want != "" && want != self:
 		status = http.StatusMisdirectedRequest
-	case r.engine != nil && !slices.ContainsFunc(r.residents(), func(m stub.Resident) bool { return m.Name == req.Header.Get(headerModel) }):
+	case r.engine != nil && !r.holds(req.Header.Get(headerModel)):
 		status = http.StatusMisdirectedRequest
 	case r.engine != nil && r.running >= r.engine.Slots:
 		status = http.StatusServiceUnavailable
