--- a/review/rig2/idledrop.go
+++ b/review/rig2/idledrop.go
@@ -36,9 +36,13 @@
 type dropConn struct {
 	net.Conn
 	dropped atomic.Bool
+}
 
-	mu    sync.Mutex
-	timer *time.Timer
+// idleConns are the idle channels of a runner that drops them.
+type idleConns struct {
+	mu     sync.Mutex
+	ended  bool
+	timers map[*dropConn]*time.Timer
 }
 
 // Read implements net.Conn.
@@ -60,17 +64,35 @@
 	if !ok {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
+	r.idle.mu.Lock()
+	defer r.idle.mu.Unlock()
+	if t := r.idle.timers[c]; t != nil {
+		t.Stop()
+		delete(r.idle.timers, c)
 	}
-	if state == http.StateIdle {
-		c.timer = time.AfterFunc(dropAfter, func() { c.dropped.Store(true) })
+	if state == http.StateIdle && !r.idle.ended {
+		if r.idle.timers == nil {
+			r.idle.timers = map[*dropConn]*time.Timer{}
+		}
+		r.idle.timers[c] = time.AfterFunc(dropAfter, func() { c.dropped.Store(true) })
 	}
 }
 
+// endDrops ends the disruption: no idle channel is dropped from now on, and those that were dropped are
+// closed, so that nothing is reset any more.
+func (r *runner) endDrops() {
+	r.idle.mu.Lock()
+	defer r.idle.mu.Unlock()
+	r.idle.ended = true
+	for c, t := range r.idle.timers {
+		t.Stop()
+		if c.dropped.Load() {
+			_ = c.Close()
+		}
+	}
+	r.idle.timers = nil
+}
+
 // idleDrop plays a route that is added while runners drop idle channels without notice.
 func idleDrop(f *fleet, trouble bool) (verdict, error) {
 	err := f.start(layout{gateways: 2, engines: 5, plain: 1, config: smallConfig(), budgetSlack: grownSlack, hold: holdBusy, behave: func(r *runner) {
@@ -125,6 +147,10 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	f.rec.notef("at the first requests on the added route, sent and served: %v", tally)
+	for _, r := range f.runners {
+		r.endDrops()
+	}
+	f.rec.notef("runners drop no idle channels any more")
 	time.Sleep(5 * time.Second)
 	mu.Lock()
 	tally = map[string][2]int{}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -31,7 +31,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(f *fleet, trouble bool) (verdict, error){
-	"late-order":    lateOrder,
 	"long-prompt":   longPrompt,
 	"first-part":    firstPart,
 	"encoded-slash": encodedSlash,
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -51,38 +51,29 @@
 	deadly func(prompt string) bool
 	// eventsBeforeCrash is the number of events that it writes before a deadly prompt crashes it.
 	eventsBeforeCrash int
-	// dropsIdle makes it drop idle channels without notice.
+	// dropsIdle makes it drop idle channels without notice; idle are the channels that are idle now.
 	dropsIdle bool
+	idle      idleConns
 	// events and gap are the length and pace of a stream, work is the time of a plain run.
 	events    int
 	gap, work time.Duration
 
 	mu     sync.Mutex
 	starts int
-	// version is that of the runner's software. keepID makes a lifetime use the id of the one before,
-	// as runners may.
-	version string
-	keepID  bool
-	// keepModels makes a lifetime begin with the models of the first one, as after a start by the platform.
-	keepModels bool
-	id         string
-	born       int64
-	models     []string
-	// adapters are those of its first model.
-	adapters []string
-	// lateAdapter is the adapter whose next load gets no answer and is carried out late, overflows counts
-	// the orders that gave the runner more adapters than it has places for.
-	lateAdapter string
-	overflows   int
-	onDisk      []string
-	sequence    int64
-	loading     string
-	loadEnd     time.Time
-	running     int
-	up          bool
-	srv         *http.Server
-	stopBeat    chan struct{}
-	arrivals    []arrival
+	// version is that of the runner's software.
+	version  string
+	id       string
+	born     int64
+	models   []string
+	onDisk   []string
+	sequence int64
+	loading  string
+	loadEnd  time.Time
+	running  int
+	up       bool
+	srv      *http.Server
+	stopBeat chan struct{}
+	arrivals []arrival
 	// losesUntil is the end of the time in which answers are lost, runs counts the runs in it.
 	losesUntil time.Time
 	runs       int
@@ -101,12 +92,10 @@
 	}
 	r.mu.Lock()
 	r.starts++
-	if r.id == "" || !r.keepID {
-		r.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "", ":", "").Replace(r.address), r.starts)
-	}
+	r.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "", ":", "").Replace(r.address), r.starts)
 	r.born, r.sequence, r.loading, r.running, r.up = time.Now().UnixMilli(), 0, "", 0, true
-	if r.starts > 1 && !r.keepModels {
-		r.models, r.adapters = nil, nil
+	if r.starts > 1 {
+		r.models = nil
 	}
 	id, version := r.id, r.version
 	r.srv = &http.Server{Handler: r.handler(id, version), ReadHeaderTimeout: time.Minute, ConnState: r.observe}
@@ -203,7 +192,7 @@
 	}
 	out := []stub.Resident{}
 	for _, m := range r.models {
-		out = append(out, stub.Resident{Name: m, Version: 1, Adapters: append([]string{}, r.adapters...)})
+		out = append(out, stub.Resident{Name: m, Version: 1, Adapters: []string{}})
 	}
 	return out
 }
@@ -241,17 +230,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if r.actsLate(o) {
-		r.actLate(req, id, o)
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.residents()
-	if o.Adapter != "" {
-		w.WriteHeader(r.applyAdapter(id, o))
-		return
-	}
 	held := slices.Contains(r.models, o.Model)
 	switch {
 	case r.loading != "", o.ExpectedSequence != nil && *o.ExpectedSequence != r.sequence:
@@ -306,8 +287,11 @@
 		status = http.StatusBadRequest
 	case want != "" && want != self:
 		status = http.StatusMisdirectedRequest
-	case r.engine != nil && !r.holds(req.Header.Get(headerModel)):
+	case r.engine != nil && !slices.ContainsFunc(r.residents(), func(m stub.Resident) bool { return m.Name == req.Header.Get(headerModel) }):
 		status = http.StatusMisdirectedRequest
+		if r.loading == req.Header.Get(headerModel) {
+			status = http.StatusServiceUnavailable
+		}
 	case r.engine != nil && r.running >= r.engine.Slots:
 		status = http.StatusServiceUnavailable
 	}
