guard, intake: what clients fill is counted before it comes

Callers: 64 clients that uploaded at once ended a gateway of 144 MB, an entry too, and with it all requests in progress; 600 connections that stayed silent or unfinished used up the descriptors, and nobody was answered. A client that was refused before it had sent its whole body got no answer if it stopped short, because net/http first reads on.

Nothing of a connection was given back while its client stayed.

Change: intake keeps an account of each connection: the connection itself, its head, each segment of its body before it is read, the announced lengths, and long answers. Beyond the limits those that don't progress are shed, and large bodies leave a part to others. guard puts that under the servers for callers, health, metrics and operators, bounds the kernel's buffers, answers before an unread body, and discards what a refused client still sends until it has its answer. Bodies are segments that are sent without a copy.

--- a/internal/cmds/platform.go
+++ b/internal/cmds/platform.go
@@ -18,8 +18,9 @@
 )
 
 // runtimeMemoryFraction is the fraction of the process's memory that is the Go runtime's soft
-// limit, above which it collects more often; the rest is for kernel stacks and buffers.
-const runtimeMemoryFraction = 0.7
+// limit, above which it collects more often; the rest is for the program itself, kernel stacks and
+// buffers.
+const runtimeMemoryFraction = 0.75
 
 // logBufferLines bounds the log lines buffered for the output; lines beyond it are dropped.
 const logBufferLines = 2048
@@ -84,7 +85,7 @@
 func newPlatformProcess(cmd *cobra.Command, file, level, service string, res config.ResourceLimits) (*platformProcess, error) {
 	// The process gets a fraction of one core, so parallel threads would only take turns.
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(res.MemoryMB<<20)))
+	limitMemory(res.MemoryMB)
 	reg := telemetry.NewRegistry()
 	out := telemetry.NewAsyncWriter(cmd.OutOrStdout(), logBufferLines, reg)
 	log, err := telemetry.NewLogger(out, level)
@@ -102,6 +103,11 @@
 	return &platformProcess{reg: reg, log: entry, close: func() { signal.Stop(hup); out.Close() }}, nil
 }
 
+// limitMemory makes the Go runtime collect more often when the process nears its memory.
+func limitMemory(mb int64) {
+	debug.SetMemoryLimit(int64(runtimeMemoryFraction * float64(mb<<20)))
+}
+
 // reloadSettings reads the settings file again and applies its log level. Other changes take
 // effect at the next start.
 func reloadSettings(file string, log *logrus.Logger, entry *logrus.Entry) {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -79,6 +79,11 @@
 	c.timing(s.Timing)
 	c.add(s.Limits.MaxBodyBytes <= 0, "limits.max_body_bytes", "the value is not above zero", "write a number of bytes")
 	c.positive("limits.start_timeout", s.Limits.StartTimeout)
+	c.add(s.Limits.BodyTimeout < 0, "limits.body_timeout", "the value is below zero", `write a duration such as "2m"`)
+	c.add(s.Limits.WriteTimeout < 0, "limits.write_timeout", "the value is below zero", `write a duration such as "1m"`)
+	c.add(s.Resources.MemoryMB < 0, "resources.memory_mb", "the value is below zero", "write the memory limit of the process in megabytes, or omit the field")
+	c.add(s.Resources.MaxDescriptors < 0, "resources.max_descriptors", "the value is below zero", "write the number of descriptors of the process, or omit the field")
+	c.clients(s.Clients)
 	c.add(s.LoadsPerSecond < 0, "loads_per_second", "the value is below zero", "write how many loads the weight store starts per second, such as 2")
 	c.add(s.MoveCost < 0, "move_cost", "the value is below zero", "write a fraction such as 1, or 2 for fewer moves")
 	return c
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,10 @@
 	Platform      plat.Settings `yaml:"platform"`
 	Timing        Timing        `yaml:"timing"`
 	Limits        RequestLimits `yaml:"limits"`
+	// Resources are those that the host grants the process, and Clients what callers may take of
+	// them.
+	Resources ResourceLimits `yaml:"resources"`
+	Clients   ClientLimits   `yaml:"clients"`
 	// MoveCost is the shortage or surplus of a model's replicas, as a fraction, that the planner
 	// accepts before it moves models: the more a move is taken to cost, the more it accepts.
 	// 0 takes the default.
@@ -56,6 +60,10 @@
 type RequestLimits struct {
 	MaxBodyBytes int64         `yaml:"max_body_bytes"`
 	StartTimeout time.Duration `yaml:"start_timeout"`
+	// BodyTimeout bounds the time that a caller takes to send a body, and WriteTimeout the time in
+	// which it takes a piece of an answer; 0 takes the default.
+	BodyTimeout  time.Duration `yaml:"body_timeout"`
+	WriteTimeout time.Duration `yaml:"write_timeout"`
 }
 
 // Agent holds the settings of an agent.
@@ -184,5 +192,5 @@
 
 // DefaultRequestLimits returns the limits used where the settings give none.
 func DefaultRequestLimits() RequestLimits {
-	return RequestLimits{MaxBodyBytes: 1 << 20, StartTimeout: 30 * time.Second}
+	return RequestLimits{MaxBodyBytes: 1 << 20, StartTimeout: 30 * time.Second, BodyTimeout: 2 * time.Minute, WriteTimeout: time.Minute}
 }
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -19,6 +19,7 @@
 	Revocation     Revocation     `yaml:"revocation"`
 	Shutdown       Shutdown       `yaml:"leave"`
 	Resources      ResourceLimits `yaml:"resources"`
+	Clients        ClientLimits   `yaml:"clients"`
 	// Ramp limits the requests to endpoints that have just started or recovered.
 	Ramp     bool   `yaml:"ramp"`
 	LogLevel string `yaml:"log_level"`
@@ -111,6 +112,9 @@
 // ResourceLimits holds the resources that the host grants the process.
 type ResourceLimits struct {
 	MemoryMB int64 `yaml:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; 0 leaves it to the
+	// limit that the system sets, which also holds beside it.
+	MaxDescriptors int `yaml:"max_descriptors"`
 }
 
 // minRevocationBound is the shortest bound that a gateway can keep without refusing requests: a
@@ -127,6 +131,7 @@
 		Revocation: Revocation{Bound: 5 * time.Second},
 		// The load balancer notices after two health checks, one second apart.
 		Shutdown: Shutdown{GracePeriod: 8 * time.Second, DrainDelay: 2500 * time.Millisecond},
+		Clients:  DefaultClientLimits(),
 	}
 }
 
@@ -155,6 +160,7 @@
 
 func (c *checks) resources(r ResourceLimits) {
 	c.add(r.MemoryMB <= 0, "resources.memory_mb", "the value is not above zero", "write the memory limit of the process in megabytes")
+	c.add(r.MaxDescriptors < 0, "resources.max_descriptors", "the value is below zero", "write the number of descriptors of the process, or omit the field")
 }
 
 func (s *Gateway) problems() []problem {
@@ -175,6 +181,7 @@
 	c.add(s.Shutdown.DrainDelay < 0 || s.Shutdown.DrainDelay >= s.Shutdown.GracePeriod, "leave.unready",
 		fmt.Sprintf("value %s is not between zero and the grace period %s", s.Shutdown.DrainDelay, s.Shutdown.GracePeriod), "write a shorter duration")
 	c.resources(s.Resources)
+	c.clients(s.Clients)
 	return c
 }
 
--- a/internal/config/gateway_test.go
+++ b/internal/config/gateway_test.go
@@ -18,7 +18,7 @@
 	"#bootstrap": "", "/bootstrap": "",
 	"bounds.ceilingWindowS": "4", "#bounds.ceilingWindowS": "", "/bounds.ceilingWindowS": "",
 	"#bounds.revokeStrict": "", "/bounds.revokeStrict": "", "bounds.revokeMs": "5000",
-	"limits.memoryMb": "284", "service|json": `"s"`, "app|json": `"10.1.0.40:8145"`,
+	"limits.memoryMb": "284", "limits.maxFds": "4100", "service|json": `"s"`, "app|json": `"10.1.0.40:8145"`,
 }
 
 var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -30,7 +30,9 @@
 
 // roles maps each role to a constructor of its default settings.
 var roles = map[string]func() Settings{
-	"entry": func() Settings { return &Entry{Role: "entry", Timing: DefaultTiming(), Limits: DefaultRequestLimits()} },
+	"entry": func() Settings {
+		return &Entry{Role: "entry", Timing: DefaultTiming(), Limits: DefaultRequestLimits(), Clients: DefaultClientLimits()}
+	},
 	"agent": func() Settings { return &Agent{Role: "agent", Timing: DefaultTiming()} },
 	"engine": func() Settings {
 		return &Engine{Role: "engine", Engine: engsim.Settings{Resume: engsim.Resume{}.WithDefaults()}}
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -69,7 +69,8 @@
 	docGossip := peer.NewDocumentGossip(cfg.ID, b.docs, n.pool, b.peerAddresses(cfg.ID, cfg.Seeds), nil, log)
 	n.bootstrapped = docGossip.Bootstrapped
 	n.agent.EnablePoisonGossip(n.pool, b.peerAddresses(cfg.ID, cfg.Seeds))
-	if err := n.listen(docGossip.WrapHandler(n.agent), peerMetrics, reg); err != nil {
+	guards := newClientGuards(config.ClientLimits{}, config.ResourceLimits{}, reg, log)
+	if err := n.listen(docGossip.WrapHandler(n.agent), peerMetrics, guards, reg); err != nil {
 		n.close()
 		return nil, err
 	}
@@ -106,14 +107,14 @@
 	return wire.Hello{Node: n.cfg.ID, Role: "agent", Incarnation: n.agent.Incarnation(), Versions: n.docs.Versions()}
 }
 
-func (n *Agent) listen(h peer.Handler, m *peer.Metrics, reg *prometheus.Registry) error {
+func (n *Agent) listen(h peer.Handler, m *peer.Metrics, guards clientGuards, reg *prometheus.Registry) error {
 	var err error
 	if n.peers, err = servePeers(n.cfg.Listen.Peers, h, m, n.workers, n.log); err != nil {
 		return err
 	}
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return n.bootstrapped() && !n.agent.Leaving() }, reg)
-	n.http, err = httpd.Listen(n.cfg.Listen.HTTP, r)
+	n.http, err = httpd.ListenGuarded(n.cfg.Listen.HTTP, r, guards.probes("health"))
 	return err
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -41,7 +41,9 @@
 	b := newBase(cfg.Platform, cfg.Timing, reg, log)
 	peerMetrics := peer.NewMetrics(reg)
 	settings := entry.DefaultSettings(cfg.ID, cfg.FailureDomain)
+	defaults := config.DefaultRequestLimits()
 	settings.MaxBodyBytes, settings.StartTimeout = cfg.Limits.MaxBodyBytes, cfg.Limits.StartTimeout
+	settings.BodyTimeout = cmp.Or(cfg.Limits.BodyTimeout, defaults.BodyTimeout)
 	settings.Metrics = entry.NewMetrics(reg)
 	e := entry.New(settings, b.docs, b.members, peerMetrics.Dialer(peer.Dial), log)
 	e.EnablePoisonGossip(b.peerAddresses(cfg.ID, cfg.Seeds))
@@ -62,7 +64,8 @@
 	httpd.RegisterHealthAndMetrics(r, func() bool { return docGossip.Bootstrapped() && e.Ready() }, reg)
 	ops := opsapi.New(b.platform, b.platform.ObjectsClient(), b.docs, b.members, e.Pool(), e.Status, log)
 	ops.RegisterRoutes(r)
-	if err := n.listen(r, docGossip.WrapHandler(e), peerMetrics); err != nil {
+	guards := newClientGuards(cfg.Clients, cfg.Resources, reg, log)
+	if err := n.listen(r, docGossip.WrapHandler(e), peerMetrics, guards, cmp.Or(cfg.Limits.WriteTimeout, defaults.WriteTimeout)); err != nil {
 		n.close()
 		return nil, err
 	}
@@ -81,15 +84,15 @@
 	return n, nil
 }
 
-func (n *Entry) listen(admin *mux.Router, h peer.Handler, m *peer.Metrics) error {
+func (n *Entry) listen(admin *mux.Router, h peer.Handler, m *peer.Metrics, guards clientGuards, writeTimeout time.Duration) error {
 	var err error
 	if n.peers, err = servePeers(n.cfg.Listen.Peers, h, m, n.workers, n.log); err != nil {
 		return err
 	}
-	if n.callers, err = httpd.Listen(n.cfg.Listen.Callers, n.entry.Handler()); err != nil {
+	if n.callers, err = httpd.ListenGuarded(n.cfg.Listen.Callers, n.entry.Handler(), guards.callers(writeTimeout)); err != nil {
 		return err
 	}
-	n.admin, err = httpd.Listen(n.cfg.Listen.Admin, admin)
+	n.admin, err = httpd.ListenGuarded(n.cfg.Listen.Admin, admin, guards.operators())
 	return err
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	stdlog "log"
 	"net"
@@ -110,6 +109,8 @@
 // StartGateway opens the listeners of a gateway and starts its background tasks.
 func StartGateway(cfg config.Gateway, src PlatformStore, headers proxy.HeaderNames, reg *prometheus.Registry, log *logrus.Entry) (*Gateway, error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	guards := newClientGuards(cfg.Clients, cfg.Resources, reg, log)
+	callers := guards.callers(0)
 	g := &Gateway{cfg: cfg, log: log, cancel: cancel, conns: drain.New(), accepted: make(chan struct{})}
 	fail := func(err error) (*Gateway, error) {
 		cancel()
@@ -140,7 +141,8 @@
 		ConfirmEndpoints: w.ConfirmEndpoints,
 		Quotas:           plane.Credits(),
 		Durable:          plane.Durable(),
-	}, w.View, plane, http1.NewPool(dialTimeout), proxy.NewMetrics(reg), log)
+		MaxBodyBytes:     callers.LargestBody(),
+	}, w.View, plane, http1.NewPool(dialTimeout).WithMaxIdle(guards.maxIdleConns()), proxy.NewMetrics(reg), log)
 	g.plane = plane
 	plane.OnObservation(w.ApplyObservation)
 	w.SetRelay(relay.NewClient(), plane.KeeperAddresses)
@@ -153,7 +155,7 @@
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return g.ready.Load() && w.View().HasConfig && !w.View().EndpointsConfirmedAt.IsZero() }, reg)
 	r.Handle("/where", g.handler.WhereHandler())
-	if g.health, err = httpd.Listen(cfg.Listen.Ready, r); err != nil {
+	if g.health, err = httpd.ListenGuarded(cfg.Listen.Ready, r, guards.probes("ready")); err != nil {
 		return fail(err)
 	}
 	if g.relay, err = relay.Listen(cfg.Listen.Datagrams, func(context.Context) (relay.Held, error) {
@@ -163,18 +165,25 @@
 		g.health.Close()
 		return fail(err)
 	}
-	l, err := net.Listen("tcp", cfg.Listen.Callers)
+	l, err := callers.Listen(cfg.Listen.Callers)
 	if err != nil {
 		g.health.Close()
 		g.relay.Close()
-		return fail(fmt.Errorf("listen on %s: %w; choose a free address", cfg.Listen.Callers, err))
+		return fail(err)
 	}
 	g.srv = &http.Server{
-		Handler: g.conns.Handler(g.handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ConnContext: g.conns.Context, ConnState: g.conns.Observe, ErrorLog: stdlog.New(serverLog{log}, "", 0),
+		Handler: g.conns.Handler(callers.Handler(g.handler)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: stdlog.New(serverLog{log}, "", 0),
+	}
+	g.srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return g.conns.Context(callers.Context(ctx, nc), nc)
+	}
+	g.srv.ConnState = func(nc net.Conn, state http.ConnState) {
+		callers.Observe(nc, state)
+		g.conns.Observe(nc, state)
 	}
 	g.listener = l
-	g.metrics = serveMetrics(cfg.Listen.Metrics, reg, log)
+	g.metrics = serveMetrics(cfg.Listen.Metrics, guards, reg, log)
 	g.ready.Store(true)
 	g.wg.Go(func() {
 		defer close(g.accepted)
@@ -248,13 +257,13 @@
 
 // serveMetrics serves health, readiness and metrics on a separate address, if one is set.
 // It returns nil if the address cannot be opened: a process works without metrics.
-func serveMetrics(address string, reg *prometheus.Registry, log *logrus.Entry) *httpd.Server {
+func serveMetrics(address string, guards clientGuards, reg *prometheus.Registry, log *logrus.Entry) *httpd.Server {
 	if address == "" {
 		return nil
 	}
 	r := mux.NewRouter()
 	httpd.RegisterHealthAndMetrics(r, func() bool { return true }, reg)
-	s, err := httpd.Listen(address, r)
+	s, err := httpd.ListenGuarded(address, r, guards.probes("metrics"))
 	if err != nil {
 		log.WithError(err).Warn("could not listen for metrics; they are not served")
 		return nil
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Keeper{log: log, metrics: serveMetrics(cfg.Listen.Metrics, reg, log), relay: relayed, cancel: cancel}
+	n := &Keeper{log: log, metrics: serveMetrics(cfg.Listen.Metrics, newClientGuards(config.ClientLimits{}, cfg.Resources, reg, log), reg, log), relay: relayed, cancel: cancel}
 	n.wg.Go(func() { k.Run(ctx) })
 	log.WithFields(logrus.Fields{"endpoint": cfg.Endpoint.Address, "service": cfg.Endpoint.Service}).Info("keeper started")
 	return n, nil
--- a/internal/proof/crowd_test.go
+++ b/internal/proof/crowd_test.go
@@ -85,9 +85,10 @@
 	e := &crowdEntry{t: t, callers: addrs[1], admin: addrs[2]}
 	e.proc = start("entry", crowdDescriptors, config.Entry{
 		Role: "entry", ID: "entry-1", FailureDomain: "d1", Listen: config.EntryListen{Callers: addrs[1], Admin: addrs[2], Peers: addrs[3]}, LogLevel: "error",
-		Platform: plat.Settings{Table: url, Objects: url, Weights: url, Hosts: url, Timeout: time.Second},
-		Timing:   config.Timing{TablePoll: 100 * time.Millisecond, HostPoll: 100 * time.Millisecond, LeaseTerm: 2 * time.Second, OrderDelay: 200 * time.Millisecond},
-		Limits:   config.RequestLimits{MaxBodyBytes: crowdBodyBytes, StartTimeout: 15 * time.Second},
+		Platform:  plat.Settings{Table: url, Objects: url, Weights: url, Hosts: url, Timeout: time.Second},
+		Timing:    config.Timing{TablePoll: 100 * time.Millisecond, HostPoll: 100 * time.Millisecond, LeaseTerm: 2 * time.Second, OrderDelay: 200 * time.Millisecond},
+		Limits:    config.RequestLimits{MaxBodyBytes: crowdBodyBytes, StartTimeout: 15 * time.Second},
+		Resources: config.ResourceLimits{MemoryMB: crowdMemory >> 20},
 	}, "entry")
 	e.mustServe("before the crowd")
 	return e
--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -53,7 +53,7 @@
 
 func request(id, body string) *Request {
 	return &Request{
-		Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Test-Request": {id}}, Body: []byte(body),
+		Method: "POST", Target: "/x", Host: "h", Header: http.Header{"Test-Request": {id}}, Body: [][]byte{[]byte(body)},
 		IDHeader: "Test-Request", ID: id,
 	}
 }
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -14,20 +15,41 @@
 type Pool struct {
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	// maxIdle bounds the idle connections to all endpoints; 0 sets no bound.
+	maxIdle int
+
+	mu        sync.Mutex
+	idle      map[string][]*conn
+	idleCount int
 }
 
 // NewPool returns a pool that opens connections; timeout bounds the opening of each.
 func NewPool(timeout time.Duration) *Pool {
 	// Without keep-alive probes a connection to a host that lost power would hang forever.
-	d := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+	d := &net.Dialer{Timeout: timeout, Control: limitBuffers, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
 	return &Pool{
 		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 		idle: map[string][]*conn{},
 	}
 }
 
+// WithMaxIdle returns a pool without connections that keeps at most n idle ones in all.
+func (p *Pool) WithMaxIdle(n int) *Pool {
+	return &Pool{dial: p.dial, maxIdle: n, idle: map[string][]*conn{}}
+}
+
+// socketBufferBytes bounds each of the kernel's buffers of a connection. What an endpoint sends ahead
+// of a client that reads slowly waits there and counts toward the gateway's memory.
+const socketBufferBytes = 64 << 10
+
+func limitBuffers(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// A system that refuses keeps its own buffers.
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
+	})
+}
+
 // dialWithin opens a connection within a time, or within the pool's own timeout if it is 0.
 func (p *Pool) dialWithin(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
 	if timeout > 0 {
@@ -50,6 +72,7 @@
 		}
 		c := list[len(list)-1]
 		p.idle[key] = list[:len(list)-1]
+		p.idleCount--
 		p.mu.Unlock()
 		if c.reusable(now) {
 			return c
@@ -73,8 +96,9 @@
 	c.idleSince = now
 	p.mu.Lock()
 	list := p.idle[key]
-	if len(list) < maxIdleConns && c.idleTimeout > 0 {
+	if len(list) < maxIdleConns && c.idleTimeout > 0 && (p.maxIdle == 0 || p.idleCount < p.maxIdle) {
 		p.idle[key] = append(list, c)
+		p.idleCount++
 		c = nil
 	}
 	p.mu.Unlock()
@@ -95,6 +119,7 @@
 				remaining = append(remaining, c)
 			} else {
 				evicted = append(evicted, c)
+				p.idleCount--
 			}
 		}
 		if len(remaining) == 0 {
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -49,7 +49,8 @@
 type Request struct {
 	Method, Target, Host string
 	Header               http.Header
-	Body                 []byte
+	// Body holds the parts of the body in order.
+	Body [][]byte
 	// Trailer holds the trailer fields, if there are any.
 	Trailer http.Header
 	// IDHeader is the header field that an endpoint echoes in its response; ID is its value.
@@ -166,9 +167,10 @@
 		return nil, &Error{Stage: stage, Reused: reused, Cause: err}
 	}
 	var written atomic.Bool
-	head, body := encodeHead(req), encodeBody(req)
-	if len(body) <= inlineBodyBytes {
-		if n, err := c.Write(append(head, body...)); err != nil {
+	length := req.bodyLength()
+	bufs := encodeRequest(req, length)
+	if length <= inlineBodyBytes {
+		if n, err := c.Write(slices.Concat(bufs...)); err != nil {
 			if n == 0 && !reused {
 				return fail(Unsent, err)
 			}
@@ -177,7 +179,6 @@
 		written.Store(true)
 	} else {
 		go func() {
-			bufs := net.Buffers{head, body}
 			if _, err := bufs.WriteTo(c.Conn); err == nil {
 				written.Store(true)
 			}
@@ -236,37 +237,49 @@
 	return nil, errUnrelatedResponses
 }
 
-// encodeHead returns the request line and the header as they are sent.
-func encodeHead(req *Request) []byte {
+// bodyLength returns the length of the request's body in bytes.
+func (r *Request) bodyLength() int {
+	n := 0
+	for _, b := range r.Body {
+		n += len(b)
+	}
+	return n
+}
+
+// encodeRequest returns the request as it is sent; a body with trailer fields is one chunk.
+func encodeRequest(req *Request, length int) net.Buffers {
 	var b bytes.Buffer
-	b.Grow(512 + inlineBodyBytes)
+	b.Grow(512)
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	if err := req.Header.Write(&b); err != nil {
 		// A bytes.Buffer returns no error.
 		return nil
 	}
+	var end []byte
 	switch {
 	case len(req.Trailer) > 0:
 		// Trailer fields require chunked encoding.
-		fmt.Fprintf(&b, "Trailer: %s\r\nTransfer-Encoding: chunked\r\n", strings.Join(slices.Sorted(maps.Keys(req.Trailer)), ", "))
-	case len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(req.Body))
+		fmt.Fprintf(&b, "Trailer: %s\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Join(slices.Sorted(maps.Keys(req.Trailer)), ", "))
+		end = encodeTrailer(req.Trailer, length > 0)
+		if length > 0 {
+			fmt.Fprintf(&b, "%x\r\n", length)
+		}
+	case length > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", length)
+	default:
+		b.WriteString("\r\n")
 	}
-	b.WriteString("\r\n")
-	return b.Bytes()
+	return append(append(net.Buffers{b.Bytes()}, req.Body...), end)
 }
 
-// encodeBody returns the body as it is sent, in one chunk if there are trailer fields.
-func encodeBody(req *Request) []byte {
-	if len(req.Trailer) == 0 {
-		return req.Body
-	}
+// encodeTrailer returns what follows the only chunk of a body, or stands for a body without one.
+func encodeTrailer(trailer http.Header, afterChunk bool) []byte {
 	var b bytes.Buffer
-	if len(req.Body) > 0 {
-		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(req.Body), req.Body)
+	if afterChunk {
+		b.WriteString("\r\n")
 	}
 	b.WriteString("0\r\n")
-	if err := req.Trailer.Write(&b); err != nil {
+	if err := trailer.Write(&b); err != nil {
 		// A bytes.Buffer returns no error.
 		return nil
 	}
--- a/internal/standin/crowd/proc.go
+++ b/internal/standin/crowd/proc.go
@@ -16,6 +16,8 @@
 	// Resident is its resident memory, and Unread what its sockets have received and it has not
 	// read, in bytes.
 	Resident, Unread int64
+	// PeakResident is the highest resident memory since the start of the process.
+	PeakResident int64
 	// Descriptors is the number of its open descriptors.
 	Descriptors int
 }
@@ -81,6 +83,7 @@
 
 // Peak returns the highest values since the start, and the highest memory at one moment.
 func (p *Process) Peak() (Usage, int64) {
+	p.sample()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.peak, p.peakMemory
@@ -88,17 +91,23 @@
 
 func (p *Process) watch() {
 	for p.Lives() {
-		if u, err := p.Usage(); err == nil {
-			p.mu.Lock()
-			p.peak.Resident, p.peak.Unread = max(p.peak.Resident, u.Resident), max(p.peak.Unread, u.Unread)
-			p.peak.Descriptors = max(p.peak.Descriptors, u.Descriptors)
-			p.peakMemory = max(p.peakMemory, u.Memory())
-			p.mu.Unlock()
-		}
+		p.sample()
 		time.Sleep(sampleInterval)
 	}
 }
 
+func (p *Process) sample() {
+	u, err := p.Usage()
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peak.Resident, p.peak.Unread = max(p.peak.Resident, u.PeakResident), max(p.peak.Unread, u.Unread)
+	p.peak.Descriptors = max(p.peak.Descriptors, u.Descriptors)
+	p.peakMemory = max(p.peakMemory, u.Memory(), u.PeakResident)
+}
+
 // Usage returns what the process uses now.
 func (p *Process) Usage() (Usage, error) {
 	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
@@ -108,12 +117,18 @@
 	}
 	var u Usage
 	for line := range strings.Lines(string(status)) {
-		if f := strings.Fields(line); len(f) >= 2 && f[0] == "VmRSS:" {
-			kb, err := strconv.ParseInt(f[1], 10, 64)
-			if err != nil {
-				return Usage{}, fmt.Errorf("resident memory: %w", err)
-			}
+		f := strings.Fields(line)
+		if len(f) < 2 || f[0] != "VmRSS:" && f[0] != "VmHWM:" {
+			continue
+		}
+		kb, err := strconv.ParseInt(f[1], 10, 64)
+		if err != nil {
+			return Usage{}, fmt.Errorf("resident memory: %w", err)
+		}
+		if f[0] == "VmRSS:" {
 			u.Resident = kb << 10
+		} else {
+			u.PeakResident = kb << 10
 		}
 	}
 	sockets := map[string]bool{}
--- a/internal/state/fault/fault.go
+++ b/internal/state/fault/fault.go
@@ -66,6 +66,8 @@
 	// CodeEngineError means that an engine answered with a server error.
 	CodeEngineError = "engine_error"
 	CodeOutage      = "platform_outage"
+	// CodeBodyTimeout means that a request's body did not end in time.
+	CodeBodyTimeout = "body_timeout"
 )
 
 // Error is a typed error with a stable code and a remedy.
@@ -135,6 +137,9 @@
 		if e.Code == "body_too_large" {
 			return http.StatusRequestEntityTooLarge
 		}
+		if e.Code == CodeBodyTimeout {
+			return http.StatusRequestTimeout
+		}
 		if e.Code == CodeKeyReused {
 			return http.StatusUnprocessableEntity
 		}
--- a/internal/transport/entry/caller.go
+++ b/internal/transport/entry/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"chervilhead/internal/state/fault"
 	"chervilhead/internal/state/ident"
 	"chervilhead/internal/state/table"
+	"chervilhead/internal/transport/guard"
 )
 
 // caller is an authenticated caller, with the view that its request was checked against.
@@ -38,17 +38,24 @@
 	return caller{group: g, view: v}, nil
 }
 
+// bodyCopies is how many times the entry holds a body: as read, decoded, and encoded for an agent.
+const bodyCopies = 4
+
 // readBody reads a request body up to the size limit.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := guard.ReadBody(w, r, e.cfg.MaxBodyBytes, time.Now().Add(e.cfg.BodyTimeout), bodyCopies)
+	switch {
+	case err == nil:
+		return body.Bytes(), nil
+	case errors.Is(err, guard.ErrTooLarge):
 		return nil, errTooLarge(e.cfg.MaxBodyBytes)
-	}
-	if err != nil {
+	case errors.Is(err, guard.ErrMemory) || errors.Is(err, guard.ErrStalled):
+		return nil, errNoMemory(err)
+	case errors.Is(err, guard.ErrTimeout):
+		return nil, errBodyTimeout(e.cfg.BodyTimeout)
+	default:
 		return nil, fault.New(fault.Invalid, "malformed_body", "the request body could not be read", "send the request again").WithCause(err)
 	}
-	return body, nil
 }
 
 // newRequest returns a request with the fields that come from the headers.
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -33,6 +33,8 @@
 	FailureDomain string
 	// MaxBodyBytes is the size limit of a request body.
 	MaxBodyBytes int64
+	// BodyTimeout bounds the time that a caller takes to send a body.
+	BodyTimeout time.Duration
 	// StartTimeout is the time within which a request must start if its caller sets none.
 	StartTimeout time.Duration
 	// ReconnectWindow is how long the entry tries to reconnect to an agent before the
@@ -46,7 +48,7 @@
 
 // DefaultSettings returns the default settings of the entry id in a failure domain.
 func DefaultSettings(id, domain string) Settings {
-	return Settings{ID: id, FailureDomain: domain, MaxBodyBytes: 1 << 20, StartTimeout: 30 * time.Second, ReconnectWindow: 3 * time.Second}
+	return Settings{ID: id, FailureDomain: domain, MaxBodyBytes: 1 << 20, BodyTimeout: 2 * time.Minute, StartTimeout: 30 * time.Second, ReconnectWindow: 3 * time.Second}
 }
 
 // Entry serves callers' requests.
--- a/internal/transport/entry/errors.go
+++ b/internal/transport/entry/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"chervilhead/internal/state/fault"
 )
@@ -27,3 +28,17 @@
 func errTooLarge(limit int64) *fault.Error {
 	return fault.New(fault.Invalid, "body_too_large", fmt.Sprintf("the request body exceeds %d bytes", limit), "send a smaller body")
 }
+
+// memoryRetryAfter is when a request that was refused for want of memory may be sent again; what
+// stalled callers hold is free by then.
+const memoryRetryAfter = time.Second
+
+func errNoMemory(cause error) *fault.Error {
+	return fault.New(fault.Unavailable, "memory", "the entry's memory for requests is in use", "send the request again later").
+		WithCause(cause).WithRetryAfter(memoryRetryAfter).WithOutcome(fault.OutcomeNotRun)
+}
+
+func errBodyTimeout(limit time.Duration) *fault.Error {
+	return fault.New(fault.Invalid, fault.CodeBodyTimeout, fmt.Sprintf("the request body did not end within %s", limit), "send the body faster").
+		WithRetryAfter(memoryRetryAfter).WithOutcome(fault.OutcomeNotRun)
+}
--- a/internal/transport/httpd/httpd.go
+++ b/internal/transport/httpd/httpd.go
@@ -11,10 +11,18 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"chervilhead/internal/transport/guard"
 )
 
-// headerTimeout bounds how long a client may take to send the request header.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds how long a client may take to send the request header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a client may keep a connection without a request, and
+	// maxHeaderBytes the header of a request, on a guarded address.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
 
 // Server is an HTTP server on one listener.
 type Server struct {
@@ -28,13 +36,30 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w; choose a free address", address, err)
 	}
-	s := &Server{srv: &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, l: l}
+	return serve(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}, l), nil
+}
+
+// ListenGuarded is like Listen for an address that clients reach who may not behave; g keeps them
+// within their limits.
+func ListenGuarded(address string, h http.Handler, g *guard.Guard) (*Server, error) {
+	l, err := g.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return serve(&http.Server{
+		Handler: g.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ConnContext: g.Context, ConnState: g.Observe,
+	}, l), nil
+}
+
+func serve(srv *http.Server, l net.Listener) *Server {
+	s := &Server{srv: srv, l: l}
 	go func() {
-		if err := s.srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			panic(fmt.Sprintf("serve %s: %v", address, err))
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			panic(fmt.Sprintf("serve %s: %v", l.Addr(), err))
 		}
 	}()
-	return s, nil
+	return s
 }
 
 // Address returns the address that the server listens on.
@@ -60,9 +85,9 @@
 }
 
 func resetConn(conn net.Conn) {
-	if tc, ok := conn.(*net.TCPConn); ok {
+	if lc, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// An error means that the connection is gone; Close handles that too.
-		_ = tc.SetLinger(0)
+		_ = lc.SetLinger(0)
 	}
 	_ = conn.Close()
 }
--- a/internal/transport/opsapi/edits.go
+++ b/internal/transport/opsapi/edits.go
@@ -5,10 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 
@@ -18,6 +18,7 @@
 	"chervilhead/internal/state/fault"
 	"chervilhead/internal/state/ident"
 	"chervilhead/internal/state/table"
+	"chervilhead/internal/transport/guard"
 )
 
 // HeaderEditID is the header that carries the id of an edit. An edit that is sent again
@@ -72,12 +73,18 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := guard.ReadBody(w, r, maxBodyBytes, time.Now().Add(bodyTimeout), bodyCopies)
+	switch {
+	case errors.Is(err, guard.ErrTooLarge):
 		return nil, fault.New(fault.Invalid, "body_too_large", fmt.Sprintf("the body exceeds %d bytes", maxBodyBytes), "split the edit")
+	case errors.Is(err, guard.ErrMemory) || errors.Is(err, guard.ErrStalled):
+		return nil, fault.New(fault.Unavailable, "memory", "the memory for operators' requests is in use", "send the edit again later").WithCause(err).WithRetryAfter(time.Second)
+	case errors.Is(err, guard.ErrTimeout):
+		return nil, fault.New(fault.Invalid, fault.CodeBodyTimeout, fmt.Sprintf("the body did not end within %s", bodyTimeout), "send the body faster")
+	case err != nil:
+		return nil, err
 	}
-	return data, err
+	return body.Bytes(), nil
 }
 
 func (a *API) putRow(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/opsapi/opsapi.go
+++ b/internal/transport/opsapi/opsapi.go
@@ -22,7 +22,11 @@
 )
 
 const (
-	maxBodyBytes  = 4 << 20
+	maxBodyBytes = 4 << 20
+	// bodyTimeout bounds the time that an operator's client takes to send a body, and bodyCopies is
+	// how many times the process holds one.
+	bodyTimeout   = time.Minute
+	bodyCopies    = 3
 	statusTimeout = time.Second
 	// maxStatusCalls bounds the concurrent status calls to other processes.
 	maxStatusCalls = 32
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -417,7 +417,7 @@
 	sent := time.Now()
 	c.sentAt = sent
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &http1.Request{
-		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body, Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
+		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body.Segments(), Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
 		IDHeader: h.cfg.Headers.RequestID, ID: c.id, DialTimeout: dialTimeout(c.route),
 		BeforeSend: func() error {
 			if h.tracker.pauses.Left(e.IncarnationID(), time.Now()) > 0 {
--- a/internal/transport/proxy/durable_test.go
+++ b/internal/transport/proxy/durable_test.go
@@ -18,6 +18,7 @@
 	"chervilhead/internal/state/fleet"
 	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
+	"chervilhead/internal/transport/guard"
 )
 
 // fakeDurable is a store of records that several gateways use.
@@ -65,7 +66,7 @@
 		h := New(Settings{Headers: testHeaders}, nil, nil, nil, nil, quietLog())
 		now, runs := time.Now(), 0
 		for end := now.Add(12 * time.Hour); now.Before(end); now = now.Add(every) {
-			c := &call{in: httptest.NewRequest(http.MethodPost, "/a/x", strings.NewReader("")), body: []byte("deadly"), partKeys: []string{"p"}}
+			c := &call{in: httptest.NewRequest(http.MethodPost, "/a/x", strings.NewReader("")), body: guard.NewBody([]byte("deadly")), partKeys: []string{"p"}}
 			_, request := h.poisonTracker.blockedRequest(c, now)
 			_, part := h.poisonTracker.blockedPart(c, now)
 			if request != part {
@@ -98,7 +99,7 @@
 		}
 		return a.status
 	}
-	c := &call{in: httptest.NewRequest(http.MethodPost, "http://test.example/a/x", nil), body: []byte("deadly")}
+	c := &call{in: httptest.NewRequest(http.MethodPost, "http://test.example/a/x", nil), body: guard.NewBody([]byte("deadly"))}
 	c.in.RequestURI = "/a/x"
 	for i := range maxCrashes {
 		g.handler.poisonTracker.add(crashOf(c, fmt.Sprint(i), time.Now()), time.Now())
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -1,11 +1,10 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -22,6 +21,7 @@
 	"chervilhead/internal/state/pick"
 	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
+	"chervilhead/internal/transport/guard"
 	"chervilhead/internal/transport/httpd"
 )
 
@@ -89,6 +89,9 @@
 	Quotas Quotas
 	// Durable keeps what must outlive all processes; nil keeps nothing.
 	Durable Durable
+	// MaxBodyBytes is the longest body that the memory for clients holds; 0 sets no limit beyond
+	// the configuration's.
+	MaxBodyBytes int64
 }
 
 // Handler forwards clients' requests to endpoints. It implements http.Handler.
@@ -110,8 +113,6 @@
 	stop   atomic.Pointer[Stop]
 	cutCtx context.Context
 	cut    context.CancelCauseFunc
-
-	bodyBytes atomic.Int64
 }
 
 // New returns a handler that reads the configuration and endpoints from view.
@@ -161,9 +162,9 @@
 	h.shareRecords()
 }
 
-// maxBodyBytes bounds the request bodies in memory to a fifth of a small host's memory. It is
-// also the limit of one body where the configuration sets none.
-const maxBodyBytes = 48 << 20
+// defaultBodyBytes is the limit of one body where neither the configuration nor the memory for
+// clients sets one.
+const defaultBodyBytes = 48 << 20
 
 // call is one client request in progress.
 type call struct {
@@ -175,7 +176,7 @@
 	// access is how the request was authorized.
 	access access
 	req    pick.Request
-	body   []byte
+	body   guard.Body
 	in     *http.Request
 	w      http.ResponseWriter
 	// ctx ends when the client leaves, at its deadline or at the route's timeout.
@@ -298,8 +299,6 @@
 	if !h.readBody(c, v.Config.Limits, deadline) {
 		return
 	}
-	defer h.bodyBytes.Add(-int64(len(c.body)))
-
 	c.deadline = deadline
 	ctx, cancel := h.callContext(c)
 	defer cancel()
@@ -348,52 +347,33 @@
 	lateWriteTimeout = time.Second
 )
 
-// readBody buffers the request's body; it responds and returns false when the body, or the
-// total of all bodies in memory, is too large, or when the deadline passes before its end.
+// readBody reads the request's body; it responds and returns false when the body is too large, when
+// there is no memory for it, or when it doesn't end in time.
 func (h *Handler) readBody(c *call, limits fleet.Limits, deadline time.Time) bool {
 	limit := limits.BodyBytes
 	if limit <= 0 {
-		limit = maxBodyBytes
+		limit = cmp.Or(h.cfg.MaxBodyBytes, defaultBodyBytes)
 	}
-	if c.in.ContentLength > limit {
+	body, err := guard.ReadBody(c.w, c.in, limit, deadline, 1)
+	switch {
+	case err == nil:
+		c.body = body
+		return true
+	case errors.Is(err, guard.ErrTooLarge):
 		h.respond(c, http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
-	}
-	if h.bodyBytes.Load() > maxBodyBytes {
+	case errors.Is(err, guard.ErrMemory):
 		h.reject(c, "memory", startRetryAfter)
-		return false
-	}
-	if c.in.ContentLength == 0 {
-		return true
-	}
-	conn := http.NewResponseController(c.w)
-	if err := conn.SetReadDeadline(deadline); err != nil {
-		h.log.WithError(err).WithField("request", c.id).Warn("no deadline could be set for the request's body; a slow caller is not cut off")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.in.Body, limit+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The rest of the body may follow at any time, so the connection can't be used again.
-		c.w.Header().Set("Connection", "close")
-		h.respond(c, http.StatusRequestTimeout, "body_timeout")
-		return false
-	}
-	if err != nil {
+	case errors.Is(err, guard.ErrStalled):
+		h.rejectWith(c, http.StatusRequestTimeout, "body_stalled", startRetryAfter)
+	case errors.Is(err, guard.ErrTimeout):
+		h.rejectWith(c, http.StatusRequestTimeout, "body_timeout", startRetryAfter)
+	default:
 		// The client left or sent a malformed body; nobody can be answered.
 		c.outcome = "body_broken"
 		h.recordOutcome(c)
 		panic(http.ErrAbortHandler)
 	}
-	if int64(len(body)) > limit {
-		h.respond(c, http.StatusRequestEntityTooLarge, "body_too_large")
-		return false
-	}
-	// The server reads on to notice that the caller leaves; that has no deadline.
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		h.log.WithError(err).WithField("request", c.id).Warn("the deadline of the request's body could not be removed; the request may end there")
-	}
-	c.body = body
-	h.bodyBytes.Add(int64(len(body)))
-	return true
+	return false
 }
 
 // parseRequest parses the headers on which the choice of an endpoint depends.
--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+
+	"chervilhead/internal/transport/guard"
 )
 
 // Metrics counts a handler's requests and measures their time to the first event.
@@ -90,7 +92,7 @@
 	if late != "" {
 		h.metrics.late.WithLabelValues(kind, late).Inc()
 	}
-	h.log.WithFields(c.access.fields()).WithFields(logrus.Fields{
+	h.log.WithFields(c.access.fields()).WithFields(c.memoryFields()).WithFields(logrus.Fields{
 		"late": late, "gap_ms": c.longestGap.Milliseconds(),
 		"request": c.id, "route": c.route.Name, "group": c.group.Name, "name": c.req.ModelName.String(), "endpoint": c.choice.ID, "candidates": c.choice.CandidateCount,
 		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.PrefillTokens, "backlog": c.choice.BacklogTokens, "start_wait_ms": c.choice.StartWait.Milliseconds(), "fetch": c.choice.LoadAdapter,
@@ -101,6 +103,15 @@
 	}).Info("request ended")
 }
 
+// memoryFields returns what clients held when a request was refused for want of memory.
+func (c *call) memoryFields() logrus.Fields {
+	s, ok := guard.Held(c.in)
+	if !ok || c.outcome != "memory" && c.outcome != "body_stalled" {
+		return nil
+	}
+	return logrus.Fields{"client_bytes": s.Bytes, "client_large_bytes": s.LargeBytes, "client_connections": s.Connections, "body_bytes": c.in.ContentLength}
+}
+
 // logFailedAttempt logs an attempt that didn't end the request.
 func (h *Handler) logFailedAttempt(c *call, res attemptFailed) {
 	h.log.WithFields(logrus.Fields{
--- a/internal/transport/proxy/poison.go
+++ b/internal/transport/proxy/poison.go
@@ -62,7 +62,9 @@
 	if c.cachedFingerprint == "" {
 		d := xxhash.New()
 		_, _ = d.WriteString(c.in.Method + " " + c.in.Host + c.in.RequestURI + "\n")
-		_, _ = d.Write(c.body)
+		for _, b := range c.body.Segments() {
+			_, _ = d.Write(b)
+		}
 		c.cachedFingerprint = strconv.FormatUint(d.Sum64(), 16)
 	}
 	return c.cachedFingerprint
--- a/internal/transport/proxy/response.go
+++ b/internal/transport/proxy/response.go
@@ -10,6 +10,7 @@
 
 	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/state/fleet"
+	"chervilhead/internal/transport/guard"
 	"chervilhead/internal/transport/httpd"
 )
 
@@ -27,6 +28,15 @@
 
 // relayPlain relays a response that is not a stream.
 func (h *Handler) relayPlain(c *call, e fleet.Endpoint, resp *http1.Response, onFirst func()) attemptResult {
+	if !h.reserveAnswer(c, resp) {
+		if resp.Status >= http.StatusInternalServerError {
+			h.tracker.recordResult(e, false)
+			return attemptFailed{mayHaveRun: true, reason: "failed_" + strconv.Itoa(resp.Status)}
+		}
+		// Nothing is buffered, so that the request can't be retried if the answer breaks.
+		onFirst()
+		return h.relayLong(c, e, resp, nil)
+	}
 	var b bytes.Buffer
 	_, err := io.Copy(&b, io.LimitReader(resp, maxBufferedBytes))
 	if err == nil && b.Len() == maxBufferedBytes {
@@ -56,6 +66,27 @@
 	return attemptDone{}
 }
 
+const (
+	// shortAnswerBytes is the length up to which an answer fits into what a request counts for.
+	shortAnswerBytes = 8 << 10
+	// relayBytes is what a long answer takes beside the buffered part: the buffer through which it
+	// is copied and what its endpoint sends ahead.
+	relayBytes = 96 << 10
+)
+
+// reserveAnswer counts the memory that a plain answer takes before it is read, and reports whether
+// there is enough to buffer it.
+func (h *Handler) reserveAnswer(c *call, resp *http1.Response) bool {
+	switch n := resp.ContentLength; {
+	case n >= 0 && n <= shortAnswerBytes:
+		return true
+	case n >= 0 && n < maxBufferedBytes:
+		return guard.Reserve(c.in, n) == nil
+	default:
+		return guard.Reserve(c.in, maxBufferedBytes+relayBytes) == nil
+	}
+}
+
 // writeResponse sends an endpoint's complete response to the client.
 func (h *Handler) writeResponse(c *call, a *bufferedResponse, outcome string) {
 	copyHeader(c.w.Header(), a.header)
@@ -155,7 +186,7 @@
 
 // reject answers 503 with a Retry-After: the request has not run.
 func (h *Handler) reject(c *call, reason string, after time.Duration) {
-	c.w.Header().Set("Retry-After", strconv.FormatFloat(max(after, 10*time.Millisecond).Seconds(), 'f', 2, 64))
+	c.w.Header().Set("Retry-After", guard.FormatRetryAfter(max(after, 10*time.Millisecond)))
 	h.respond(c, http.StatusServiceUnavailable, reason)
 }
 
