http1: a connection that broke under the upload doesn't end an answer

Callers: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset to one call only. The goroutine that writes the request got the report and dropped it; the one that reads the answer then saw the end of the connection, which ends a body without a length.

Change: at such an end the writing is stopped, and the body counts as whole only if the writing had met no error. An endpoint that ends its side in order while the upload goes on still ends its answer.

--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -75,7 +74,9 @@
 	// Framing is what ends the body.
 	Framing Framing
 
-	resp     *http.Response
+	resp *http.Response
+	// uploaded returns an error if the request could not be written because the connection broke.
+	uploaded func() error
 	release  func(complete bool)
 	complete bool
 }
@@ -115,6 +116,13 @@
 // Read reads the body; io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.resp.Body.Read(p)
+	if err == io.EOF && r.Framing == FramingConnection {
+		// The kernel reports a reset once, and the goroutine that writes the request may have got the
+		// report.
+		if uerr := r.uploaded(); uerr != nil {
+			err = fmt.Errorf("%w: the connection broke while the request was written: %w", io.ErrUnexpectedEOF, uerr)
+		}
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
@@ -166,7 +174,7 @@
 		}
 		return nil, &Error{Stage: stage, Reused: reused, Cause: err}
 	}
-	var written atomic.Bool
+	up := &upload{c: c, done: make(chan struct{})}
 	length := req.bodyLength()
 	bufs := encodeRequest(req, length)
 	if length <= inlineBodyBytes {
@@ -176,13 +184,12 @@
 			}
 			return fail(Sent, err)
 		}
-		written.Store(true)
+		close(up.done)
 	} else {
 		go func() {
-			if _, err := bufs.WriteTo(c.Conn); err == nil {
-				written.Store(true)
-			}
+			_, up.err = bufs.WriteTo(c.Conn)
 			// A failed write shows in the read of the response.
+			close(up.done)
 		}()
 	}
 	resp, err := readResponse(c, req) //nolint:bodyclose // Response.Close ends the body with its connection.
@@ -190,11 +197,11 @@
 		return fail(Sent, err)
 	}
 	c.applyKeepAlive(resp.Header)
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp, uploaded: up.stop}
 	out.Framing = FramingOf(resp)
 	out.release = func(complete bool) {
 		canceled := !stop()
-		if complete && !canceled && !resp.Close && written.Load() && c.br.Buffered() == 0 {
+		if complete && !canceled && !resp.Close && up.whole() && c.br.Buffered() == 0 {
 			p.put(key, c, time.Now())
 			return
 		}
