http1: heads that are none in the protocol are no answers

Callers: an endpoint in trouble answered with status 000, or with a blank or a control byte in the name of a field.

Cause: net/http's parser takes any three digits for a status, skips those below 200 as interim answers, accepts blanks in names, and takes the length and chunks of one answer together.

Change: http1 reads answers itself, by one set of rules: a status from 100 to 599, names that are tokens, no control bytes, no continued lines, one length or chunks, trailers like heads. Whatever breaks them fails the attempt as one that may have run.

--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -239,8 +239,7 @@
 		if got := resp.Header.Get("Test-Request"); got != "1" {
 			t.Errorf("took a response to request %q", got)
 		}
-		defer resp.Body.Close()
-		_, _ = io.Copy(io.Discard, resp.Body)
+		_, _ = io.Copy(io.Discard, newBody(c.br, resp, noUpload))
 		c.applyKeepAlive(resp.Header)
 		if c.idleTimeout < 0 {
 			t.Errorf("idle timeout %v", c.idleTimeout)
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -74,9 +74,8 @@
 	// Framing is what ends the body.
 	Framing Framing
 
-	resp *http.Response
-	// uploaded returns an error if the request could not be written because the connection broke.
-	uploaded func() error
+	resp     *http.Response
+	body     *body
 	release  func(complete bool)
 	complete bool
 }
@@ -115,14 +114,7 @@
 
 // Read reads the body; io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
-	n, err := r.resp.Body.Read(p)
-	if err == io.EOF && r.Framing == FramingConnection {
-		// The kernel reports a reset once, and the goroutine that writes the request may have got the
-		// report.
-		if uerr := r.uploaded(); uerr != nil {
-			err = fmt.Errorf("%w: the connection broke while the request was written: %w", io.ErrUnexpectedEOF, uerr)
-		}
-	}
+	n, err := r.body.Read(p)
 	if err == io.EOF {
 		r.complete = true
 	}
@@ -192,12 +184,12 @@
 			close(up.done)
 		}()
 	}
-	resp, err := readResponse(c, req) //nolint:bodyclose // Response.Close ends the body with its connection.
+	resp, err := readResponse(c, req)
 	if err != nil {
 		return fail(Sent, err)
 	}
 	c.applyKeepAlive(resp.Header)
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp, uploaded: up.stop}
+	out := &Response{Status: resp.StatusCode, Header: resp.Header, ContentLength: resp.ContentLength, resp: resp, body: newBody(c.br, resp, up.stop)}
 	out.Framing = FramingOf(resp)
 	out.release = func(complete bool) {
 		canceled := !stop()
@@ -213,10 +205,9 @@
 // readResponse reads responses until the one with the request's id. It bounds what it reads
 // of anything else, because a faulty endpoint may send bytes without end.
 func readResponse(c *conn, req *Request) (*http.Response, error) {
-	httpReq := &http.Request{Method: req.Method}
 	for range maxResponses {
 		c.headBytesLeft = maxHeadBytes
-		resp, err := http.ReadResponse(c.br, httpReq)
+		resp, err := readHead(c.br, req.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -234,7 +225,7 @@
 		if got == "" {
 			return nil, fmt.Errorf("%w: a response with status %d names no request", errUnrelatedResponses, resp.StatusCode)
 		}
-		switch _, err := io.CopyN(io.Discard, resp.Body, maxUnrelatedBytes); {
+		switch _, err := io.CopyN(io.Discard, newBody(c.br, resp, noUpload), maxUnrelatedBytes); {
 		case err == nil:
 			return nil, fmt.Errorf("%w, one of them with over %d bytes", errUnrelatedResponses, maxUnrelatedBytes)
 		case !errors.Is(err, io.EOF):
@@ -244,6 +235,9 @@
 	return nil, errUnrelatedResponses
 }
 
+// noUpload stands for the upload of a response that belongs to no request in progress.
+func noUpload() error { return nil }
+
 // bodyLength returns the length of the request's body in bytes.
 func (r *Request) bodyLength() int {
 	n := 0
