http1, platform, relay, agent: one parser for all answers

Callers: a keeper took an order for refused whose answer had status 000 or 600, so that it could be given again while the engine carried it out; reports, rows of the store, configurations of other processes and answers of services were taken although a field's name held a blank.

Change: http1.Transport is a round tripper over http1's pool and parser, and these clients use it. It repeats a call on a kept connection that ended without a byte as net/http does. The relay asks for compressed configurations itself.

TestTransport: kept connections and repeats.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -16,6 +16,7 @@
 	"chervilhead/internal/coordination/lease"
 	"chervilhead/internal/coordination/place"
 	"chervilhead/internal/protocol/engine"
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/protocol/wire"
 	"chervilhead/internal/state/plan"
 	"chervilhead/internal/telemetry"
@@ -99,7 +100,7 @@
 	if ep.Service != "" {
 		return agent.NewServiceBackend(ep.Service, ep.URL), nil
 	}
-	eng := engine.New(ep.URL, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: ep.Slots + ep.ExtraSlots}})
+	eng := engine.New(ep.URL, &http.Client{Transport: http1.NewTransport(http1.TransportSettings{DialTimeout: platformDialTimeout, MaxIdlePerHost: ep.Slots + ep.ExtraSlots, IdleTimeout: platformIdleTimeout})})
 	return agent.EngineBackend{Engine: eng, Metrics: m}, eng
 }
 
--- a/internal/node/base.go
+++ b/internal/node/base.go
@@ -18,6 +18,7 @@
 	"chervilhead/internal/coordination/member"
 	"chervilhead/internal/coordination/place"
 	"chervilhead/internal/coordination/store"
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/protocol/plat"
 	"chervilhead/internal/telemetry"
 	"chervilhead/internal/transport/peer"
@@ -25,8 +26,14 @@
 
 const idlePollInterval = 20 * time.Millisecond
 
-// maxIdlePlatformConns is the number of idle connections kept to each address of the platform.
-const maxIdlePlatformConns = 8
+const (
+	// maxIdlePlatformConns is the number of idle connections kept to each address of the platform,
+	// and platformIdleTimeout how long they are kept if it states no time.
+	maxIdlePlatformConns = 8
+	platformIdleTimeout  = time.Minute
+	// platformDialTimeout bounds the opening of a connection to the platform or an engine.
+	platformDialTimeout = 2 * time.Second
+)
 
 // base is what agents and entries have in common: the platform's client, the replicated
 // documents and the membership view.
@@ -38,7 +45,7 @@
 }
 
 func newBase(p plat.Settings, t config.Timing, reg prometheus.Registerer, log *logrus.Entry) base {
-	client := plat.New(p, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePlatformConns}}).WithMetrics(plat.NewMetrics(reg))
+	client := plat.New(p, &http.Client{Transport: http1.NewTransport(http1.TransportSettings{DialTimeout: platformDialTimeout, MaxIdlePerHost: maxIdlePlatformConns, IdleTimeout: platformIdleTimeout})}).WithMetrics(plat.NewMetrics(reg))
 	docs := gossip.NewStore()
 	telemetry.RegisterDocumentVersions(reg, docs.Versions)
 	return base{
--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -35,6 +35,8 @@
 	// headBytesLeft is what may still be read before the response's head is complete, or
 	// unlimited.
 	headBytesLeft int
+	// read is the number of bytes that were read since the connection was taken for a request.
+	read int
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	// idleSince is when the connection became idle.
@@ -55,13 +57,16 @@
 
 func (r headLimitReader) Read(p []byte) (int, error) {
 	if r.c.headBytesLeft == unlimited {
-		return r.c.Read(p)
+		n, err := r.c.Read(p)
+		r.c.read += n
+		return n, err
 	}
 	if r.c.headBytesLeft == 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := r.c.Read(p[:min(len(p), r.c.headBytesLeft)])
 	r.c.headBytesLeft -= n
+	r.c.read += n
 	return n, err
 }
 
--- a/internal/protocol/http1/pool.go
+++ b/internal/protocol/http1/pool.go
@@ -15,8 +15,12 @@
 type Pool struct {
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
-	// maxIdle bounds the idle connections to all endpoints; 0 sets no bound.
-	maxIdle int
+	// maxIdle bounds the idle connections to all endpoints; 0 sets no bound. perHost bounds those to
+	// one.
+	maxIdle, perHost int
+	// idleTimeout is how long a connection stays idle if the endpoint states no time; 0 takes the
+	// default.
+	idleTimeout time.Duration
 
 	mu        sync.Mutex
 	idle      map[string][]*conn
@@ -28,14 +32,14 @@
 	// Without keep-alive probes a connection to a host that lost power would hang forever.
 	d := &net.Dialer{Timeout: timeout, Control: limitBuffers, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
 	return &Pool{
-		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
-		idle: map[string][]*conn{},
+		dial:    func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		perHost: maxIdleConns, idle: map[string][]*conn{},
 	}
 }
 
 // WithMaxIdle returns a pool without connections that keeps at most n idle ones in all.
 func (p *Pool) WithMaxIdle(n int) *Pool {
-	return &Pool{dial: p.dial, maxIdle: n, idle: map[string][]*conn{}}
+	return &Pool{dial: p.dial, maxIdle: n, perHost: p.perHost, idle: map[string][]*conn{}}
 }
 
 // socketBufferBytes bounds each of the kernel's buffers of a connection. What an endpoint sends ahead
@@ -96,12 +100,24 @@
 	c.idleSince = now
 	p.mu.Lock()
 	list := p.idle[key]
-	if len(list) < maxIdleConns && c.idleTimeout > 0 && (p.maxIdle == 0 || p.idleCount < p.maxIdle) {
+	var expired []*conn
+	for len(list) > 0 && now.Sub(list[0].idleSince) > list[0].idleTimeout {
+		// The least recently used come first; nobody takes them any more.
+		expired, list = append(expired, list[0]), list[1:]
+		p.idleCount--
+	}
+	if p.idle[key] = list; len(list) == 0 {
+		delete(p.idle, key)
+	}
+	if len(list) < p.perHost && c.idleTimeout > 0 && (p.maxIdle == 0 || p.idleCount < p.maxIdle) {
 		p.idle[key] = append(list, c)
 		p.idleCount++
 		c = nil
 	}
 	p.mu.Unlock()
+	for _, e := range expired {
+		_ = e.Close()
+	}
 	if c != nil {
 		_ = c.Close()
 	}
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -30,9 +30,10 @@
 // Error is the failure of a request.
 type Error struct {
 	Stage Stage
-	// Reused is set when the request was sent on a connection from the pool.
-	Reused bool
-	Cause  error
+	// Reused is set when the request was sent on a connection from the pool, and Stale if that
+	// connection ended before a byte of a response.
+	Reused, Stale bool
+	Cause         error
 }
 
 func (e *Error) Error() string {
@@ -52,7 +53,8 @@
 	Body [][]byte
 	// Trailer holds the trailer fields, if there are any.
 	Trailer http.Header
-	// IDHeader is the header field that an endpoint echoes in its response; ID is its value.
+	// IDHeader is the header field that an endpoint echoes in its response; ID is its value. Without
+	// a name the first response is taken.
 	IDHeader, ID string
 	// BeforeSend, if set, is called once there is a connection; its error keeps the request from
 	// being sent.
@@ -150,7 +152,11 @@
 			return nil, &Error{Stage: Unsent, Cause: err}
 		}
 		c = newConn(nc)
+		if p.idleTimeout > 0 {
+			c.idleTimeout = p.idleTimeout
+		}
 	}
+	c.read = 0
 	if req.BeforeSend != nil {
 		if err := req.BeforeSend(); err != nil {
 			p.put(key, c, time.Now())
@@ -164,7 +170,7 @@
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
-		return nil, &Error{Stage: stage, Reused: reused, Cause: err}
+		return nil, &Error{Stage: stage, Reused: reused, Stale: reused && c.read == 0, Cause: err}
 	}
 	up := &upload{c: c, done: make(chan struct{})}
 	length := req.bodyLength()
@@ -218,6 +224,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if req.IDHeader == "" {
+			return resp, nil
+		}
 		got := resp.Header.Get(req.IDHeader)
 		if got == req.ID {
 			return resp, nil
--- a/internal/state/intake/account.go
+++ b/internal/state/intake/account.go
@@ -19,8 +19,8 @@
 	// stall time, and moved are the bytes since.
 	progressAt time.Time
 	moved      int64
-	isShed      bool
-	closed      bool
+	isShed     bool
+	closed     bool
 }
 
 // Begin begins a request with its first bytes. It returns ErrFull if there is no room, or if the
--- a/internal/transport/agent/backend.go
+++ b/internal/transport/agent/backend.go
@@ -85,15 +85,16 @@
 const (
 	serviceReadBytes = 64 << 10
 	dialTimeout      = 2 * time.Second
+	// idleTimeout is how long a connection to a service is kept if the service states no time.
+	idleTimeout = time.Minute
 )
 
 // ServiceBackend runs attempts on a plain HTTP service.
 type ServiceBackend struct {
 	name    string
 	baseURL string
-	// unpooled carries calls that must not be repeated, each over a connection of its own:
-	// when a reused connection breaks, net/http retries a request that has an
-	// Idempotency-Key header.
+	// unpooled carries calls that must not be repeated, each over a connection of its own: when a
+	// reused connection breaks, the transport retries a request that has an Idempotency-Key header.
 	unpooled *http.Client
 	pooled   *http.Client
 }
@@ -109,8 +110,8 @@
 	return ServiceBackend{
 		name:     b.name,
 		baseURL:  b.baseURL,
-		unpooled: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}, CheckRedirect: noRedirect},
-		pooled:   &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 16}, CheckRedirect: noRedirect},
+		unpooled: &http.Client{Transport: http1.NewTransport(http1.TransportSettings{Dial: dial}), CheckRedirect: noRedirect},
+		pooled:   &http.Client{Transport: http1.NewTransport(http1.TransportSettings{Dial: dial, MaxIdlePerHost: 16, IdleTimeout: idleTimeout}), CheckRedirect: noRedirect},
 	}
 }
 
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/gorilla/mux"
 
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/transport/bulk"
 	"chervilhead/internal/transport/httpd"
 )
@@ -97,10 +98,9 @@
 // Client reads configurations from other processes.
 type Client struct{ http *http.Client }
 
-// NewClient returns a client that opens a connection for each read, because reads are rare. The
-// transport asks for compressed responses and decompresses them.
+// NewClient returns a client that opens a connection for each read, because reads are rare.
 func NewClient() *Client {
-	return &Client{&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &Client{&http.Client{Transport: http1.NewTransport(http1.TransportSettings{})}}
 }
 
 // ReadConfig implements watch.Relay.
@@ -115,17 +115,26 @@
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration from %s: %w", address, err)
 	}
+	req.Header.Set("Accept-Encoding", "gzip")
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration from %s: %w", address, call.Err(err))
 	}
-	defer resp.Body.Close()
+	body := resp.Body
+	defer body.Close()
 	if resp.StatusCode == http.StatusNoContent {
 		return nil, nil
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("read the configuration from %s: status %d", address, resp.StatusCode)
 	}
+	if resp.Header.Get("Content-Encoding") == "gzip" {
+		z, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, fmt.Errorf("read the configuration from %s: %w", address, call.Err(err))
+		}
+		resp.Body, resp.ContentLength = z, -1
+	}
 	data, err := call.Read(resp)
 	if err != nil {
 		return nil, fmt.Errorf("read the configuration from %s after %d bytes: %w", address, len(data), err)
