entry: the head of a service's answer is checked whoever passed it on

Callers: an entry ended a request by a panic if an agent passed on a service's answer with status 0, and sent its callers field names with blanks, control bytes and line ends.

Cause: heads come from agents as JSON, past the parser.

Change: the entry checks them with http1's rules and answers 502 with the outcome unknown.

--- a/internal/transport/entry/errors.go
+++ b/internal/transport/entry/errors.go
@@ -42,3 +42,8 @@
 	return fault.New(fault.Invalid, fault.CodeBodyTimeout, fmt.Sprintf("the request body did not end within %s", limit), "send the body faster").
 		WithRetryAfter(memoryRetryAfter).WithOutcome(fault.OutcomeNotRun)
 }
+
+func errMalformedAnswer(cause error) *fault.Error {
+	return fault.New(fault.Upstream, "malformed_answer", "the service's answer is none in the protocol", "check whether the call took effect before you repeat it").
+		WithCause(cause).WithOutcome(fault.OutcomeUnknown)
+}
--- a/internal/transport/entry/service.go
+++ b/internal/transport/entry/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/gorilla/mux"
 
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/internal/protocol/openai"
 	"chervilhead/internal/protocol/wire"
 	"chervilhead/internal/state/fault"
@@ -29,6 +30,8 @@
 	out := &serviceWriter{w: w}
 	res := e.dispatch(r.Context(), req, out.write)
 	switch {
+	case out.malformed != nil:
+		openai.WriteError(w, errMalformedAnswer(out.malformed))
 	case out.head == nil:
 		openai.WriteError(w, errIncomplete(res))
 	case res.outcome == fault.OutcomeComplete:
@@ -94,15 +97,22 @@
 	head        *wire.HTTPResponseHead
 	buffered    []byte
 	headWritten bool
+	// malformed is the error of a head that is none in the protocol, whichever agent sent it.
+	malformed error
 }
 
 func (s *serviceWriter) write(items []json.RawMessage) error {
 	for _, it := range items {
 		if s.head == nil {
-			s.head = &wire.HTTPResponseHead{}
-			if err := json.Unmarshal(it, s.head); err != nil {
+			var head wire.HTTPResponseHead
+			if err := json.Unmarshal(it, &head); err != nil {
 				return err
 			}
+			if err := http1.CheckHead(head.Status, http.Header(head.Header)); err != nil {
+				s.malformed = err
+				return err
+			}
+			s.head = &head
 			continue
 		}
 		var block []byte
