cmds: explain says why a client was refused

Callers and operators: a request refused for want of memory, or for a body that stalled, showed only its outcome.

Cause: the lines on other clients name neither the request nor an endpoint, and outcomes have their meaning in the operators' guide only.

Change: explain adds the lines on refused and shed clients of that process, and a line on what the outcome means.

Result: TestExplainRefusal, which has no such lines on the code before.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -65,6 +65,15 @@
 	return s
 }
 
+// host returns the last word of the text before the line's JSON, which names the process.
+func (l logLine) host() string {
+	f := strings.Fields(l.source)
+	if len(f) == 0 {
+		return ""
+	}
+	return f[len(f)-1]
+}
+
 // readLog returns the JSON lines of a log that have a valid time, in file order.
 func readLog(r io.Reader) ([]logLine, error) {
 	var out []logLine
@@ -95,6 +104,7 @@
 func printRequestLog(w io.Writer, id string, lines []logLine) error {
 	endpoints := map[string]bool{}
 	var from, to time.Time
+	var outcome, host string
 	for _, l := range lines {
 		if l.stringField("request") != id {
 			continue
@@ -102,6 +112,9 @@
 		if e := l.stringField("endpoint"); e != "" {
 			endpoints[e] = true
 		}
+		if o := l.stringField("outcome"); o != "" {
+			outcome, host = o, l.host()
+		}
 		start := l.at
 		if ms, ok := l.fields["took_ms"].(float64); ok {
 			start = start.Add(-time.Duration(ms) * time.Millisecond)
@@ -121,8 +134,11 @@
 	for _, l := range lines {
 		// A later attempt of the caller resumes the stream that the request began.
 		ofRequest := l.stringField("request") == id || l.stringField("resumes") == id
-		ofEndpoint := l.stringField("request") == "" && endpoints[l.stringField("endpoint")] && !l.at.Before(from) && !l.at.After(to)
-		if ofRequest || ofEndpoint {
+		near := l.stringField("request") == "" && !l.at.Before(from) && !l.at.After(to)
+		ofEndpoint := near && endpoints[l.stringField("endpoint")]
+		// The gateway's lines on other clients that it refused or shed have the listener's name.
+		ofListener := near && forMemory[outcome] && l.stringField("listener") != "" && l.host() == host
+		if ofRequest || ofEndpoint || ofListener {
 			shown = append(shown, l)
 		}
 	}
@@ -132,9 +148,26 @@
 			return err
 		}
 	}
+	if text, ok := refusals[outcome]; ok {
+		if _, err := fmt.Fprintf(w, "%s: %s\n", outcome, text); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// forMemory holds the outcomes of requests that were refused because clients held the memory.
+var forMemory = map[string]bool{"memory": true, "body_stalled": true}
+
+// refusals explains the outcomes of requests that were refused for what their client sent or held.
+var refusals = map[string]string{
+	"memory":         "no memory was left for the request (client_bytes of all clients, client_large_bytes of them in large bodies); it has not run. The limits are clients and resources in the gateway's settings",
+	"body_stalled":   "the client sent its body more slowly than clients.min_rate, or stopped, while others needed the memory; it has not run",
+	"body_timeout":   "the body did not end within the request's deadline or its route's timeout; it has not run",
+	"body_too_large": "the body is longer than the operators' limit; it has not run",
+	"body_broken":    "the client left, or its body was malformed; it has not run",
+}
+
 // String returns the time, source and message, then the remaining fields in order of name.
 func (l logLine) String() string {
 	var b strings.Builder
--- a/internal/cmds/explain_test.go
+++ b/internal/cmds/explain_test.go
@@ -39,3 +39,25 @@
 		t.Error("an unknown request was explained")
 	}
 }
+
+// TestExplainRefusal guards against a refusal for want of memory whose cause the command doesn't show.
+func TestExplainRefusal(t *testing.T) {
+	lines, err := readLog(strings.NewReader(`
+ 1.0 gw-1 {"listener":"callers","why":"body","number":7,"client_bytes":900,"message":"clients that make no progress are shed","time":"2026-01-01T00:00:01Z"}
+ 1.1 gw-2 {"listener":"callers","why":"body","message":"clients that make no progress are shed","time":"2026-01-01T00:00:01Z"}
+ 2.0 gw-1 {"request":"r1","outcome":"memory","status":503,"client_bytes":1000,"message":"request ended","time":"2026-01-01T00:00:02Z"}
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := printRequestLog(&b, "r1", lines); err != nil {
+		t.Fatal(err)
+	}
+	want := `00:00:01.000 1.0 gw-1  clients that make no progress are shed client_bytes=900 listener="callers" number=7 why="body"
+00:00:02.000 2.0 gw-1  request ended client_bytes=1000 outcome="memory" request="r1" status=503
+memory: ` + refusals["memory"] + "\n"
+	if b.String() != want {
+		t.Errorf("got\n%swant\n%s", b.String(), want)
+	}
+}
