soak: clients that don't behave at each gateway

Callers: nothing yet; the soak's clients kept to the operators' limits.

The gateways have 110 MB, and one that takes more breaks FAULT; a run of a request whose end was never sent breaks UNASKED.

--- a/internal/cmds/soak.go
+++ b/internal/cmds/soak.go
@@ -88,6 +88,7 @@
 	f.BoolVar(&cfg.Keys, "keys", false, "let callers need keys, which are added and removed now and then")
 	f.BoolVar(&cfg.StrictRevocation, "strict-revocation", false, "let gateways prove that a key is valid, also while they are cut off; includes --keys")
 	f.BoolVar(&cfg.Quotas, "quotas", false, "give the groups of callers quotas; includes --keys")
+	f.IntVar(&cfg.Strangers, "strangers", 0, "the number of clients at each gateway that send large or unfinished requests, stay silent or read no answers; gateways then have 110 MB")
 	f.BoolVar(&cfg.DisableFaults, "calm", false, "inject no faults")
 	f.StringVar(&dir, "dir", "", "the directory for settings and logs, a temporary one by default; those of seeds that pass are removed")
 	return cmd
--- a/internal/protocol/http1/body.go
+++ b/internal/protocol/http1/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,12 +49,12 @@
 		n, b.err = b.readLength(p)
 	case FramingChunked:
 		n, b.err = b.chunks.Read(p)
-		if b.err == io.EOF {
+		if errors.Is(b.err, io.EOF) {
 			b.err = b.readTrailer()
 		}
 	case FramingConnection:
 		n, b.err = b.br.Read(p)
-		if b.err == io.EOF {
+		if errors.Is(b.err, io.EOF) {
 			b.err = b.endOfConnection()
 		}
 	}
@@ -69,7 +70,7 @@
 	switch {
 	case b.left == 0:
 		return n, io.EOF
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		return n, io.ErrUnexpectedEOF
 	default:
 		return n, err
--- a/internal/protocol/http1/http1_test.go
+++ b/internal/protocol/http1/http1_test.go
@@ -232,7 +232,7 @@
 		}()
 		c := newConn(near)
 		defer c.abort()
-		resp, err := readResponse(c, request("1", ""))
+		resp, err := readResponse(c, request("1", "")) //nolint:bodyclose // The body is read by newBody.
 		if err != nil {
 			return
 		}
--- a/internal/protocol/http1/request.go
+++ b/internal/protocol/http1/request.go
@@ -117,7 +117,7 @@
 // Read reads the body; io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		r.complete = true
 	}
 	return n, err
@@ -190,7 +190,7 @@
 			close(up.done)
 		}()
 	}
-	resp, err := readResponse(c, req)
+	resp, err := readResponse(c, req) //nolint:bodyclose // Response.Close ends the body with its connection.
 	if err != nil {
 		return fail(Sent, err)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,8 @@
 	Crashing bool
 	// ClockSteps lets the time of day on an endpoint's machine jump when the endpoint starts again.
 	ClockSteps bool
+	// Strangers is the number of clients that don't behave at each gateway.
+	Strangers int
 	// DisableFaults runs the load without any faults.
 	DisableFaults bool
 }
@@ -156,6 +158,12 @@
 	if s.cfg.Crashing {
 		load.Go(func() { s.sendCrashing(lctx) })
 	}
+	if s.cfg.Strangers > 0 {
+		for i, g := range s.gateways {
+			load.Go(func() { s.crowdGateway(lctx, i) })
+			load.Go(func() { s.watchMemory(lctx, g) })
+		}
+	}
 	began := time.Now()
 	for _, e := range events {
 		if wait(ctx, time.Until(began.Add(e.at))) != nil {
@@ -236,7 +244,7 @@
 			Retries:        config.Retries{Ratio: retryBudgetRatio, Slack: retryBudgetSlack, Window: retryBudgetWindow},
 			ModelLoadLimit: config.ModelLoadLimit{Window: 5 * time.Second},
 			Shutdown:       config.Shutdown{GracePeriod: gracePeriod, DrainDelay: 2500 * time.Millisecond},
-			Resources:      config.ResourceLimits{MemoryMB: 200},
+			Resources:      config.ResourceLimits{MemoryMB: s.gatewayMemoryMB()},
 		})
 		if err != nil {
 			return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,12 +61,20 @@
 				Binary: bin, Seed: seed, InjectionDuration: length, Restores: slices.Contains(f, "+restores"),
 				RateLimits: slices.Contains(f, "+limits"), Leaves: slices.Contains(f, "+leaves"), Pauses: slices.Contains(f, "+pauses"),
 				Versions: slices.Contains(f, "+versions"), Keys: slices.Contains(f, "+keys"), StrictRevocation: slices.Contains(f, "+revocation"), Quotas: slices.Contains(f, "+quotas"), Refusals: slices.Contains(f, "+refusals"), LargeConfigs: slices.Contains(f, "+large"),
-				HerdKills: slices.Contains(f, "+herds"), Crashing: slices.Contains(f, "+crashing"), ClockSteps: slices.Contains(f, "+clocks"),
+				HerdKills: slices.Contains(f, "+herds"), Crashing: slices.Contains(f, "+crashing"), Strangers: strangersOf(f), ClockSteps: slices.Contains(f, "+clocks"),
 			})
 		})
 	}
 }
 
+// strangersOf returns the number of clients that don't behave at each gateway in a line of seeds.txt.
+func strangersOf(fields []string) int {
+	if slices.Contains(fields, "+strangers") {
+		return 30
+	}
+	return 0
+}
+
 func runSeed(t *testing.T, cfg Settings) {
 	t.Helper()
 	cfg.Dir, cfg.Gateways, cfg.PlainEndpoints, cfg.Engines, cfg.Clients = filepath.Join(t.TempDir(), "soak"), 3, 4, 2, 12
--- a/internal/standin/crowd/proc.go
+++ b/internal/standin/crowd/proc.go
@@ -109,8 +109,11 @@
 }
 
 // Usage returns what the process uses now.
-func (p *Process) Usage() (Usage, error) {
-	dir := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+func (p *Process) Usage() (Usage, error) { return UsageOf(p.cmd.Process.Pid) }
+
+// UsageOf returns what a process uses now.
+func UsageOf(pid int) (Usage, error) {
+	dir := filepath.Join("/proc", strconv.Itoa(pid))
 	status, err := os.ReadFile(filepath.Join(dir, "status"))
 	if err != nil {
 		return Usage{}, err
--- a/internal/standin/testbed/checker.go
+++ b/internal/standin/testbed/checker.go
@@ -76,6 +76,9 @@
 	hasTokens bool
 	arrived   bool
 	runs      []string
+	// stranger is set for a request of a client that doesn't behave; unfinished says that it never
+	// sends the request's end.
+	stranger, unfinished bool
 	// notRunStatus is the status of an answer that promises that the request hasn't run, or 0.
 	notRunStatus int
 }
@@ -169,6 +172,11 @@
 	c.requests[id] = a
 }
 
+// AddStranger records a request of a client that doesn't behave. One that is unfinished must not run.
+func (c *Checker) AddStranger(id, gateway, method, target string, once, unfinished bool) {
+	c.addRequest(id, &sentRequest{gateway: gateway, method: method, target: target, once: once, public: true, stranger: true, unfinished: unfinished})
+}
+
 // addRun records that an endpoint began to run a request, and checks it.
 func (c *Checker) addRun(id, endpoint, method, target, model, body string) {
 	c.mu.Lock()
@@ -178,7 +186,10 @@
 		c.addViolationLocked("UNASKED", "endpoint %s ran request %q, which no client sent", endpoint, id)
 		return
 	}
-	if a.method != method || a.target != target || a.model != model || a.body != body {
+	if a.unfinished {
+		c.addViolationLocked("UNASKED", "endpoint %s ran request %s, whose end was never sent, with %d bytes of it", endpoint, id, len(body))
+	}
+	if a.method != method || a.target != target || a.model != model || a.body != body && !a.stranger {
 		c.addViolationLocked("UNASKED", "endpoint %s ran request %s differently from how it was sent: %s %s model %q, %d bytes", endpoint, id, method, target, model, len(body))
 	}
 	a.runs = append(a.runs, endpoint)
--- a/internal/transport/guard/body.go
+++ b/internal/transport/guard/body.go
@@ -115,7 +115,7 @@
 		switch {
 		case b.length > limit:
 			return Body{}, ErrTooLarge
-		case err == io.EOF || err == nil && b.length == length:
+		case errors.Is(err, io.EOF) || err == nil && b.length == length:
 			return b, nil
 		case err != nil:
 			return Body{}, err
--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -146,7 +146,7 @@
 func (c *conn) reply(status int, outcome string) {
 	c.replied.Store(true)
 	c.refused.Store(true)
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(replyTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(replyTimeout))
 	// The client may have gone.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nRetry-After: %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s\n",
 		status, http.StatusText(status), FormatRetryAfter(c.guard.cfg.RetryAfter), len(outcome)+1, outcome)
@@ -173,7 +173,7 @@
 	written := 0
 	for {
 		if t := c.guard.cfg.WriteTimeout; t > 0 {
-			if err := c.Conn.SetWriteDeadline(time.Now().Add(t)); err != nil {
+			if err := c.SetWriteDeadline(time.Now().Add(t)); err != nil {
 				return written, err
 			}
 		}
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		return err.Error()
 	}
+	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	return fmt.Sprintf("%d %s closes %t error %v", resp.StatusCode, strings.TrimSpace(string(body)), resp.Close, err)
 }
