intake, guard: no more clients are shed than the one that asks needs

Callers: while many clients end at once, a client that needed room could have up to 16 others shed for 64 KB, uploads that made progress among them; one that was shed just as its body began could keep its memory until its deadline.

Cause: each release of memory, whoever's, woke the one that waits and let it shed the next, though the first one had not given back yet; the deadline that ends a read could be replaced by the request's own.

Change: what connections that are being shed still hold counts against the need; a lock orders the two deadlines.

--- a/internal/state/intake/account.go
+++ b/internal/state/intake/account.go
@@ -76,7 +76,7 @@
 			a.announced = n
 			return nil
 		}
-		if !l.makeRoom(a, true) {
+		if !l.makeRoom(a, need{announced: n, large: true}) {
 			return ErrFull
 		}
 	}
@@ -127,15 +127,7 @@
 	delete(l.accounts, a)
 }
 
-// ReleaseBody gives back what a request's body took.
-func (a *Account) ReleaseBody() {
-	l := a.ledger
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	a.releaseBody()
-	l.notify()
-}
-
+// releaseBody gives back what a request's body took; the caller holds the ledger's mu.
 func (a *Account) releaseBody() {
 	l := a.ledger
 	if a.body > l.limits.SmallBody {
--- a/internal/state/intake/ledger.go
+++ b/internal/state/intake/ledger.go
@@ -86,7 +86,7 @@
 	}
 	// One that was inside a request first gets its answer, so that it may take two rounds.
 	for range maxRounds {
-		if !full() || !l.makeRoom(nil, false) {
+		if !full() || !l.makeRoom(nil, need{bytes: l.limits.ConnectionBytes}) {
 			break
 		}
 	}
@@ -107,23 +107,39 @@
 	maxRounds = 16
 )
 
-// makeRoom sheds a connection, unless none can be shed, and waits until something has been given
-// back. It reports whether that was so.
-func (l *Ledger) makeRoom(asker *Account, large bool) bool {
-	if !l.shedOne(asker, large) && !l.shedding() {
-		return false
+// need is what an account, or a new connection, lacks.
+type need struct {
+	// bytes are those of a connection, a head or a body, and announced those of an announcement.
+	bytes, announced int64
+	// large says that only large bodies can make room.
+	large bool
+}
+
+// of returns what a connection that is shed gives back of what is needed, in the same unit.
+func (n need) of(a *Account) int64 {
+	switch {
+	case n.announced > 0:
+		return a.announced
+	case n.large:
+		return a.body
+	default:
+		return a.held
 	}
-	return l.awaitFreed()
 }
 
-// shedding reports whether a connection that was shed still holds something.
-func (l *Ledger) shedding() bool {
+// makeRoom sheds a connection, unless those that are being shed hold enough or none can be shed, and
+// waits until something has been given back. It reports whether that was so.
+func (l *Ledger) makeRoom(asker *Account, n need) bool {
+	var pending int64
 	for a := range l.accounts {
 		if a.isShed {
-			return true
+			pending += n.of(a)
 		}
 	}
-	return false
+	if pending < max(n.bytes, n.announced) && !l.shedOne(asker, n.large) && pending == 0 {
+		return false
+	}
+	return l.awaitFreed()
 }
 
 // awaitFreed waits, with mu released, until something has been given back, for at most shedWait.
@@ -262,7 +278,7 @@
 		if largeBytes > l.limits.LargeBytes || n > l.limits.Bytes {
 			return ErrFull
 		}
-		if !l.makeRoom(a, largeFull) {
+		if !l.makeRoom(a, need{bytes: max(n, largeBytes), large: largeFull}) {
 			return ErrFull
 		}
 	}
--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -54,7 +54,9 @@
 	// isShed is set once the connection has to give back what it holds, and stalled before it if its
 	// client was too slow.
 	isShed, stalled atomic.Bool
-	closed          sync.Once
+	// deadlineMu keeps a later deadline from replacing the one that sheds the connection.
+	deadlineMu sync.Mutex
+	closed     sync.Once
 }
 
 func (c *conn) currentPhase() intake.Phase { return intake.Phase(c.phase.Load()) }
@@ -188,6 +190,8 @@
 
 // SetReadDeadline implements net.Conn; the deadline of a connection that was shed stays.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
 	if c.isShed.Load() {
 		t = past
 	}
@@ -218,7 +222,7 @@
 	switch p {
 	case intake.Head, intake.Body:
 		// The goroutine that reads the request refuses it.
-		_ = c.Conn.SetReadDeadline(past)
+		_ = c.SetReadDeadline(past)
 	case intake.Answering:
 		// What was sent of an answer can't pass for a whole one.
 		_ = c.SetLinger(0)
