http1: peers with an https URL and URLs without a port can be called again

Cause: since the clients of the product's own platform, of engines and of services use http1.Transport, which refused https and dialed a host without a port as it stood. The configuration allows https URLs ("platform.*", services, engines); a process with one could call nobody.

Change: the transport keeps a second pool, whose connections are opened with TLS 1.2 or later and a verified certificate, and adds the scheme's port. The check of idle connections looks below TLS, so that a call that must not be repeated isn't sent on a connection that the peer has closed.

--- a/internal/protocol/http1/conn.go
+++ b/internal/protocol/http1/conn.go
@@ -70,10 +70,18 @@
 	return n, err
 }
 
+// transport returns the connection that carries the bytes, below TLS.
+func (c *conn) transport() net.Conn {
+	if over, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return over.NetConn()
+	}
+	return c.Conn
+}
+
 // abort closes the connection with a reset. The reset discards data that a broken link or a
 // frozen host still delays, so that the endpoint doesn't get a request that nobody waits for.
 func (c *conn) abort() {
-	if tc, ok := c.Conn.(*net.TCPConn); ok {
+	if tc, ok := c.transport().(*net.TCPConn); ok {
 		// An error means that the connection is gone; Close handles that too.
 		_ = tc.SetLinger(0)
 	}
@@ -86,7 +94,7 @@
 	if now.Sub(c.idleSince) > c.idleTimeout || c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.transport().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/protocol/http1/transport.go
+++ b/internal/protocol/http1/transport.go
@@ -1,12 +1,16 @@
 package http1
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 )
 
@@ -20,13 +24,15 @@
 	// many are kept for one address. Without a number each request has a connection of its own.
 	IdleTimeout    time.Duration
 	MaxIdlePerHost int
+	// RootCAs verify the certificates of peers with an https URL; nil takes the system's.
+	RootCAs *x509.CertPool
 }
 
-// Transport is an http.RoundTripper that reads responses as strictly as a Pool does. It neither
-// decompresses bodies nor uses proxies.
+// Transport is an http.RoundTripper for http and https URLs that reads responses as strictly as a
+// Pool does. It neither decompresses bodies nor uses proxies.
 type Transport struct {
-	cfg  TransportSettings
-	pool *Pool
+	cfg        TransportSettings
+	plain, tls *Pool
 }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -36,18 +42,59 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
 	}
-	return &Transport{cfg: cfg, pool: &Pool{
-		dial:    func(ctx context.Context, addr string) (net.Conn, error) { return cfg.Dial(ctx, "tcp", addr) },
-		perHost: max(0, cfg.MaxIdlePerHost), idleTimeout: cfg.IdleTimeout, idle: map[string][]*conn{},
-	}}
+	pool := func(dial func(ctx context.Context, addr string) (net.Conn, error)) *Pool {
+		return &Pool{dial: dial, perHost: max(0, cfg.MaxIdlePerHost), idleTimeout: cfg.IdleTimeout, idle: map[string][]*conn{}}
+	}
+	return &Transport{
+		cfg:   cfg,
+		plain: pool(func(ctx context.Context, addr string) (net.Conn, error) { return cfg.Dial(ctx, "tcp", addr) }),
+		tls:   pool(cfg.dialTLS),
+	}
 }
 
-var errScheme = errors.New("only plain HTTP is spoken")
+// dialTLS opens a connection and verifies the peer's certificate.
+func (cfg TransportSettings) dialTLS(ctx context.Context, addr string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.DialTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, cfg.DialTimeout)
+		defer cancel()
+	}
+	raw, err := cfg.Dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := tls.Client(raw, &tls.Config{ServerName: host, RootCAs: cfg.RootCAs, MinVersion: tls.VersionTLS12})
+	if err := c.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+var errScheme = errors.New("the URL's scheme is neither http nor https")
+
+// poolOf returns the pool for a URL and the address that it names.
+func (t *Transport) poolOf(u *url.URL) (*Pool, string, error) {
+	pool, port := t.plain, "80"
+	switch u.Scheme {
+	case "http":
+	case "https":
+		pool, port = t.tls, "443"
+	default:
+		return nil, "", fmt.Errorf("%w: %s", errScheme, u.Scheme)
+	}
+	return pool, net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), port)), nil
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	if r.URL.Scheme != "http" {
-		return nil, fmt.Errorf("%w: %s", errScheme, r.URL.Scheme)
+	pool, addr, err := t.poolOf(r.URL)
+	if err != nil {
+		return nil, err
 	}
 	req := &Request{Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host, Header: r.Header}
 	if req.Method == "" {
@@ -71,7 +118,7 @@
 		req.Header.Set("Connection", "close")
 	}
 	for {
-		resp, err := t.pool.Do(r.Context(), r.URL.Host, r.URL.Host, req)
+		resp, err := pool.Do(r.Context(), addr, addr, req)
 		var failed *Error
 		switch {
 		case err == nil:
