cmds: the operators' commands refuse answers that aren't any

Cause: "table" and "where" read answers by net/http, which takes heads whose fields have blanks in or after their names. An operator saw such bytes as the table, or as a gateway's decision.

Change: both commands use http1.Transport, whose parser all other clients of the product use; one function makes their client.

--- a/internal/cmds/table.go
+++ b/internal/cmds/table.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"chervilhead/internal/protocol/http1"
 	"chervilhead/pkg/admin"
 )
 
@@ -69,7 +70,12 @@
 const requestTimeout = 10 * time.Second
 
 func (f *tableFlags) client() *admin.Client {
-	return admin.New(f.admin, f.key, &http.Client{Timeout: requestTimeout})
+	return admin.New(f.admin, f.key, newHTTPClient(requestTimeout))
+}
+
+// newHTTPClient returns a client with a connection for each call, which takes at most timeout.
+func newHTTPClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: http1.NewTransport(http1.TransportSettings{DialTimeout: timeout})}
 }
 
 func newTable() *cobra.Command {
--- a/internal/cmds/where.go
+++ b/internal/cmds/where.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return out, &ExitError{exitSettings, fmt.Errorf("%w; write the gateway's ready address as HOST:PORT", err)}
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := newHTTPClient(whereTimeout).Do(req)
 	if err != nil {
 		return out, fmt.Errorf("ask the gateway: %w; is it the ready address?", err)
 	}
