proxy: TestEndpointRecovers makes the endpoint fail twice before it recovers

What was seen: "2 requests at once before the endpoint responded" and no line of a recovery in the log, in 2 to 6 of 40 runs alone.

Cause: the test counted the sound request that it sends first as one of the two that have to fail. When only one of the four requests after it went to the failing endpoint, the endpoint was never avoided, so that there was nothing to recover from. Evidence: of 60 runs with the counts printed, the 4 that failed are exactly the 4 in which one request had failed; two or three had in the others.

Change: the test sends on until two requests have failed, and counts only those.

--- a/internal/transport/proxy/ramp_test.go
+++ b/internal/transport/proxy/ramp_test.go
@@ -130,11 +130,15 @@
 	}), startEndpoint(t, slow)
 	g, _, log := rampGateway(t, true, e, other)
 	send(t, g, 1)
+	sound := e.requests.Load()
 	fails.Store(true)
-	send(t, g, 4)
+	// One failure alone doesn't make an endpoint avoided.
+	for deadline := time.Now().Add(5 * time.Second); e.requests.Load() < sound+2 && time.Now().Before(deadline); {
+		send(t, g, 4)
+	}
 	fails.Store(false)
-	if e.requests.Load() < 2 {
-		t.Fatal("no request reached the endpoint while it failed")
+	if e.requests.Load() < sound+2 {
+		t.Fatal("no two requests reached the endpoint while it failed")
 	}
 	failed := e.requests.Load()
 	most.Store(0)
