testbed: the keepers' port stays theirs until they listen

Cause: a keeper listens for datagrams and for TCP on one port, on each engine's host. The stand-ins looked for a port that was free for UDP on the first host only, and let go of it, so that the stand-ins of another package, which use the same hosts, could be given it for TCP.

Change: the stand-ins look on all hosts for both protocols, and keep a socket for TCP bound that doesn't listen: the system gives its port to nobody who asks for any, while a keeper that asks for that port gets it.

For UDP the port is still free in between.

--- a/internal/standin/testbed/environment.go
+++ b/internal/standin/testbed/environment.go
@@ -53,6 +53,7 @@
 	// KeeperPort is the keepers' port, KeeperHosts the addresses of the engines' hosts.
 	KeeperPort  int
 	KeeperHosts []string
+	keeperPort  *portHold
 	heartbeat   time.Duration
 
 	mu     sync.Mutex
@@ -101,11 +102,9 @@
 		}
 		env.PlainEndpoints = append(env.PlainEndpoints, e)
 	}
-	port, err := freePort("127.0.4.1")
-	if err != nil {
+	if err := env.holdKeeperPort(cfg.EngineEndpoints); err != nil {
 		return nil, err
 	}
-	env.KeeperPort = port
 	for i := range cfg.EngineEndpoints {
 		s := base
 		s.Service, s.Engine = modelService, spec
@@ -113,13 +112,11 @@
 		if n := len(cfg.SoftwareVersions); n > 0 {
 			s.SoftwareVersion = cfg.SoftwareVersions[i%n]
 		}
-		host := fmt.Sprintf("127.0.4.%d", i+1)
-		e, err := env.add(s, host, cfg.Proxied)
+		e, err := env.add(s, env.KeeperHosts[i], cfg.Proxied)
 		if err != nil {
 			return nil, err
 		}
 		env.EngineEndpoints = append(env.EngineEndpoints, e)
-		env.KeeperHosts = append(env.KeeperHosts, host)
 	}
 	return env, nil
 }
@@ -151,13 +148,20 @@
 	return out, nil
 }
 
-func freePort(host string) (int, error) {
-	c, err := net.ListenPacket("udp4", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return 0, fmt.Errorf("find a free port: %w", err)
+// holdKeeperPort names the hosts of n engines and holds a port on them, or on one host if there is no
+// engine, because gateways need a port in any case.
+func (env *Environment) holdKeeperPort(n int) error {
+	var hosts []string
+	for i := range max(1, n) {
+		hosts = append(hosts, fmt.Sprintf("127.0.4.%d", i+1))
 	}
-	defer c.Close()
-	return c.LocalAddr().(*net.UDPAddr).Port, nil
+	env.KeeperHosts = hosts[:n]
+	var err error
+	if env.keeperPort, err = holdPort(hosts); err != nil {
+		return err
+	}
+	env.KeeperPort = env.keeperPort.port
+	return nil
 }
 
 // add starts an endpoint on a host, behind a proxy if proxied is set.
@@ -276,4 +280,5 @@
 			e.Kill()
 		}
 	}
+	env.keeperPort.release()
 }
