--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -7,7 +7,8 @@
 
 // cases are the scenarios by name; each reports whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
-	"frozen-release": frozenRelease,
+	"crashing-request": crashingRequest,
+	"frozen-release":   frozenRelease,
 }
 
 // The exit statuses of a case.
