--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -8,6 +8,7 @@
 // cases are the scenarios by name; each reports whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"crashing-request": crashingRequest,
+	"deadly-part":      deadlyPartAfterEvent,
 	"frozen-release":   frozenRelease,
 }
 
