--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -10,6 +10,7 @@
 	"crashing-request": crashingRequest,
 	"deadly-part":      deadlyPartAfterEvent,
 	"frozen-release":   frozenRelease,
+	"restored-drain":   restoredDrain,
 }
 
 // The exit statuses of a case.
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -104,7 +104,7 @@
 func (r *runner) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reg := stub.Registration{Service: r.service, Address: r.address, Zone: "charguia", Slots: 64, State: r.state, Born: r.born, SoftwareVersion: r.version}
+	reg := stub.Registration{Service: r.service, Address: r.address, Zone: "charguia", Slots: 6, State: r.state, Born: r.born, SoftwareVersion: r.version}
 	if r.engine != nil {
 		reg.Slots, reg.Models, reg.Sequence = r.engine.spec.Slots, r.engine.list(), r.engine.seq()
 	}
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -68,8 +69,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", w.net, os.Getpid()/200%200, w.hosts)
 }
 
-// freePorts returns two ports that are free on a host for TCP and UDP.
-func freePorts(host string) ([2]int, error) {
+// freePorts returns two ports that are free on a host for TCP and UDP, other than those in use there.
+func freePorts(host string, used ...int) ([2]int, error) {
 	var out [2]int
 	for i := 0; i < len(out); {
 		l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
@@ -82,8 +83,10 @@
 			continue
 		}
 		defer c.Close()
-		out[i] = l.Addr().(*net.TCPAddr).Port
-		i++
+		if p := l.Addr().(*net.TCPAddr).Port; !slices.Contains(used, p) {
+			out[i] = p
+			i++
+		}
 	}
 	return out, nil
 }
@@ -189,7 +192,7 @@
 // addGateway starts a gateway on a further machine.
 func (w *world) addGateway(extra settings) (*proc, error) {
 	ip := w.host()
-	ports, err := freePorts(ip)
+	ports, err := freePorts(ip, w.ports[0], w.ports[1])
 	if err != nil {
 		return nil, err
 	}
