--- a/review/rig3/deadlypart.go
+++ b/review/rig3/deadlypart.go
@@ -66,7 +66,7 @@
 	}
 	var fronts []*proc
 	for range gateways {
-		g, err := w.addGateway(nil)
+		g, err := w.addGateway()
 		if err != nil {
 			return false, err
 		}
--- a/review/rig3/frozenrelease.go
+++ b/review/rig3/frozenrelease.go
@@ -147,7 +147,7 @@
 	}
 	var fronts []*proc
 	for range gateways {
-		g, err := w.addGateway(nil)
+		g, err := w.addGateway()
 		if err != nil {
 			return false, err
 		}
--- a/review/rig3/lostsides.go
+++ b/review/rig3/lostsides.go
@@ -64,7 +64,7 @@
 		keepers = append(keepers, k)
 	}
 	for range gateways {
-		g, err := w.addGateway(nil)
+		g, err := w.addGateway()
 		if err != nil {
 			return false, err
 		}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the scenarios by name; each reports whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"crashing-request": crashingRequest,
 	"deadly-part":      deadlyPartAfterEvent,
+	"ended-limit":      endedLimit,
 	"frozen-release":   frozenRelease,
 	"restored-drain":   restoredDrain,
 }
@@ -34,6 +37,13 @@
 		return unplayed
 	}
 	defer w.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.killAll()
+		os.Exit(unplayed)
+	}()
 	broken, err := cases[args[0]](w)
 	switch {
 	case err != nil:
--- a/review/rig3/restoreddrain.go
+++ b/review/rig3/restoreddrain.go
@@ -46,7 +46,7 @@
 	}
 	var fronts []*proc
 	for range gateways {
-		g, err := w.addGateway(nil)
+		g, err := w.addGateway()
 		if err != nil {
 			return false, err
 		}
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -185,12 +186,10 @@
 	cmd     *exec.Cmd
 	done    chan struct{}
 	expects bool
-	// ends counts the times that the process ended by itself.
-	ends int
 }
 
 // addGateway starts a gateway on a further machine.
-func (w *world) addGateway(extra settings) (*proc, error) {
+func (w *world) addGateway() (*proc, error) {
 	ip := w.host()
 	ports, err := freePorts(ip, w.ports[0], w.ports[1])
 	if err != nil {
@@ -198,7 +197,7 @@
 	}
 	p := &proc{w: w, name: fmt.Sprintf("frontend-%s", ip), role: "gateway"}
 	p.front, p.ready = net.JoinHostPort(ip, strconv.Itoa(ports[0])), net.JoinHostPort(ip, strconv.Itoa(ports[1]))
-	return p, w.addProc(p, ip, settings{"listen": settings{"front": p.front, "ready": p.ready}}, extra)
+	return p, w.addProc(p, ip, settings{"listen": settings{"front": p.front, "ready": p.ready}})
 }
 
 // addKeeper starts a keeper on the machine of an engine.
@@ -208,10 +207,10 @@
 		return nil, err
 	}
 	p := &proc{w: w, name: fmt.Sprintf("side-%s", ip), role: "keeper"}
-	return p, w.addProc(p, ip, settings{"service": r.service, "app": r.address}, nil)
+	return p, w.addProc(p, ip, settings{"service": r.service, "app": r.address})
 }
 
-func (w *world) addProc(p *proc, ip string, own, extra settings) error {
+func (w *world) addProc(p *proc, ip string, own settings) error {
 	link, err := w.store.Listen()
 	if err != nil {
 		return err
@@ -221,11 +220,7 @@
 		"nodeName": p.name, "zone": "charguia", "ip": ip, "internalPorts": []int{w.ports[0], w.ports[1]}, "platform": settings{"address": link.Address},
 		"bounds": bounds(), "bootstrap": true, "limits": settings{"memoryMb": 284, "maxFds": 4100},
 	}
-	for _, m := range []settings{own, extra} {
-		for k, v := range m {
-			s[k] = v
-		}
-	}
+	maps.Copy(s, own)
 	text, err := os.ReadFile(filepath.Join("deploy", p.role+".yaml.tmpl"))
 	if err != nil {
 		return err
@@ -266,9 +261,6 @@
 		close(done)
 		p.mu.Lock()
 		expected := p.expects
-		if !expected {
-			p.ends++
-		}
 		p.mu.Unlock()
 		p.w.note("process", "%s ended, expected %v: %v", p.name, expected, err)
 		if !expected {
@@ -288,19 +280,6 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// kill ends the process at once and waits for its end.
-func (p *proc) kill() {
-	p.signal(syscall.SIGKILL, true)
-	<-p.done
-}
-
-// ended returns how often the process ended by itself.
-func (p *proc) ended() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ends
-}
-
 var errNotReady = errors.New("the gateways are not ready")
 
 // awaitReady waits until all gateways are ready.
@@ -328,6 +307,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// killAll ends all processes, without waiting for their ends.
+func (w *world) killAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.procs {
+		p.mu.Lock()
+		p.expects = true
+		_ = p.cmd.Process.Kill()
+		p.mu.Unlock()
+	}
+}
+
 // close ends all processes and servers.
 func (w *world) close() {
 	for _, p := range w.procs {
