--- a/review/rig3/frozenrelease.go
+++ b/review/rig3/frozenrelease.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -36,7 +37,13 @@
 	version string
 }
 
-const lastEvent = 30
+const (
+	lastEvent = 30
+	// judgedStreams is the number of streams taken up from which the rule judges.
+	judgedStreams = 12
+)
+
+var errTooFewStreams = errors.New("too few streams for the rule")
 
 // serveStream writes events that name the software version of the runner.
 func serveStream(pause time.Duration) func(*runner, http.ResponseWriter, *http.Request, []byte) {
@@ -224,5 +231,8 @@
 		w.note("stream", "%s begun at %s: %d events of %d versions, taken up %.2f s after the freeze, goes on %v, statuses %v", s.id, s.first, len(s.events), len(versions), s.resumedAt.Sub(frozen).Seconds(), s.goesOn, s.statuses)
 	}
 	w.note("check", "%d streams taken up at gateways in touch, %d go on; %d of %d new streams began", taken, on, begun, asked)
-	return taken >= 12 && asked > 0 && float64(on)/float64(taken) < float64(begun)/float64(asked)/2, nil
+	if taken < judgedStreams || asked == 0 {
+		return false, fmt.Errorf("%w: %d taken up, %d begun anew", errTooFewStreams, taken, asked)
+	}
+	return float64(on)/float64(taken) < float64(begun)/float64(asked)/2, nil
 }
