--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Plays the case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't be played.
-# Needs the build of the deploy file and review/build-3.sh.
+# TROUBLE=0 does the same without the disruption. Needs the build of the deploy file and review/build-3.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/chervilhead ] && [ -x target/review-3 ] || exit 2
-exec target/review-3 frozen-release "$here/record.txt"
+TROUBLE="${TROUBLE:-1}" exec target/review-3 frozen-release "$here/record.txt"
--- a/review/rig3/deadlypart.go
+++ b/review/rig3/deadlypart.go
@@ -49,6 +49,7 @@
 				stub.Sleep(req.Context(), 20*time.Millisecond)
 				fmt.Fprintf(rw, "id: %d\ndata: piece\n\n", n)
 				_ = http.NewResponseController(rw).Flush()
+				r.made(req.Header.Get(headerPrefix + "Request-Id"))
 				if deadly {
 					stub.Sleep(req.Context(), 5*time.Millisecond)
 					go r.crash(back)
--- a/review/rig3/frozenrelease.go
+++ b/review/rig3/frozenrelease.go
@@ -60,6 +60,7 @@
 			}
 			fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, version)
 			_ = http.NewResponseController(rw).Flush()
+			r.made(req.Header.Get(headerPrefix + "Request-Id"))
 		}
 	}
 }
@@ -127,7 +128,7 @@
 // clients take their streams up again at other gateways.
 func frozenRelease(w *world) (broken bool, err error) {
 	const (
-		gateways, old = 3, 4
+		gateways, old = 3, 8
 		streams       = 24
 		// gap is the longest of two seconds, four times the objective and eight times the pause.
 		gap      = 4 * time.Second
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,7 +16,14 @@
 	"chervilhead/platform/stub"
 )
 
-const headerPrefix = "X-Chervilhead-"
+const (
+	headerPrefix = "X-Chervilhead-"
+	// The slots and queues are those of the site file.
+	plainSlots, plainQueue = 6, 24
+	engineQueue            = 134
+	// defaultPriority is that of a request that names none.
+	defaultPriority = 5
+)
 
 // runner is a server that registers in the store.
 type runner struct {
@@ -27,6 +35,9 @@
 	// engine holds the models of a model runner, nil for a plain one.
 	engine *engine
 
+	// slots is how many requests run at once, queue how many more wait.
+	slots, queue int
+
 	mu      sync.Mutex
 	id      string
 	lives   int
@@ -37,8 +48,15 @@
 	cancel  context.CancelFunc
 	down    bool
 	arrived []arrival
+	running map[string]run
+	waiting int
+	// places holds one entry for each request that runs.
+	places chan struct{}
 }
 
+// run is a request that runs, with its prompt's tokens and the events that it has made.
+type run struct{ tokens, events, priority int }
+
 // arrival is a request that has reached a runner.
 type arrival struct {
 	at              time.Time
@@ -54,9 +72,11 @@
 	mu       sync.Mutex
 	sequence int64
 	models   []stub.Resident
-	memory   []string
-	loading  string
-	until    time.Time
+	// memory and disk list the models with copies of their weights there.
+	memory  []string
+	disk    []string
+	loading string
+	until   time.Time
 }
 
 // addRunner starts a runner on a further machine.
@@ -71,6 +91,10 @@
 		return nil, err
 	}
 	r := &runner{w: w, service: service, address: l.Addr().String(), version: version, serve: serve, engine: e, state: stub.StateReady}
+	r.slots, r.queue = plainSlots, plainQueue
+	if e != nil {
+		r.slots, r.queue = e.spec.Slots, engineQueue
+	}
 	r.run(l)
 	w.mu.Lock()
 	w.runners = append(w.runners, r)
@@ -85,6 +109,7 @@
 	r.lives++
 	r.id = fmt.Sprintf("i-%s-%d", strings.NewReplacer(".", "-", ":", "-").Replace(r.address), r.lives)
 	r.born, r.cancel, r.down = time.Now().UnixMilli(), cancel, false
+	r.running, r.waiting, r.places = map[string]run{}, 0, make(chan struct{}, r.slots)
 	id := r.id
 	r.srv = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) { r.handle(id, rw, req) }), ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return ctx }}
 	srv := r.srv
@@ -104,9 +129,9 @@
 func (r *runner) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reg := stub.Registration{Service: r.service, Address: r.address, Zone: "charguia", Slots: 6, State: r.state, Born: r.born, SoftwareVersion: r.version}
+	reg := stub.Registration{Service: r.service, Address: r.address, Zone: "charguia", Slots: r.slots, State: r.state, Born: r.born, SoftwareVersion: r.version}
 	if r.engine != nil {
-		reg.Slots, reg.Models, reg.Sequence = r.engine.spec.Slots, r.engine.list(), r.engine.seq()
+		reg.Models, reg.Sequence = r.engine.list(), r.engine.seq()
 	}
 	r.w.store.Register(r.id, reg)
 }
@@ -156,10 +181,15 @@
 		return
 	case req.URL.Path == "/report" && r.engine != nil:
 		r.mu.Lock()
-		born, state := r.born, r.state
+		out := r.engine.report(r.born, r.state)
+		out.Running, out.Waiting = len(r.running), r.waiting
+		for id, x := range r.running {
+			out.CacheUsed += x.tokens
+			out.Runs = append(out.Runs, []any{id, x.tokens, x.events, x.priority})
+		}
 		r.mu.Unlock()
 		h.Set("Content-Type", "application/json")
-		_ = json.NewEncoder(rw).Encode(r.engine.report(born, state))
+		_ = json.NewEncoder(rw).Encode(out)
 		return
 	case req.URL.Path == "/order" && r.engine != nil:
 		if want := req.Header.Get(headerPrefix + "Expect-Instance"); want != "" && want != self {
@@ -195,6 +225,11 @@
 	r.mu.Lock()
 	r.arrived = append(r.arrived, a)
 	r.mu.Unlock()
+	if !r.begin(req, id) {
+		notRun(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.end(id)
 	h.Set(headerPrefix+"Response-Seal", "seal-of-"+id)
 	if r.serve != nil {
 		r.serve(r, rw, req, body)
@@ -203,6 +238,59 @@
 	answer(rw, id)
 }
 
+// begin waits for a slot; it returns false if the queue is full or the caller has gone.
+func (r *runner) begin(req *http.Request, id string) bool {
+	r.mu.Lock()
+	places := r.places
+	if len(places) == cap(places) && r.waiting >= r.queue {
+		r.mu.Unlock()
+		return false
+	}
+	r.waiting++
+	r.mu.Unlock()
+	taken := false
+	select {
+	case places <- struct{}{}:
+		taken = true
+	case <-req.Context().Done():
+	}
+	prompt, _, _ := strings.Cut(req.Header.Get(headerPrefix+"Token-Count"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	priority, err := strconv.Atoi(req.Header.Get(headerPrefix + "Request-Priority"))
+	if err != nil {
+		priority = defaultPriority
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if places == r.places {
+		r.waiting--
+		if taken {
+			r.running[id] = run{tokens: tokens, priority: priority}
+		}
+	}
+	return taken
+}
+
+// made counts an event of a run.
+func (r *runner) made(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x, ok := r.running[id]; ok {
+		x.events++
+		r.running[id] = x
+	}
+}
+
+// end frees a request's slot.
+func (r *runner) end(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.running[id]; ok {
+		delete(r.running, id)
+		<-r.places
+	}
+}
+
 // answer sends the usual answer of a plain runner.
 func answer(rw http.ResponseWriter, id string) {
 	stub.Sleep(context.Background(), 20*time.Millisecond)
@@ -229,15 +317,16 @@
 	e := &engine{spec: spec}
 	for _, m := range holds {
 		e.models = append(e.models, stub.Resident{Name: m, Version: 1, Adapters: []string{}})
-		e.memory = append(e.memory, m)
+		e.memory, e.disk = append(e.memory, m), append(e.disk, m)
 	}
 	return e
 }
 
+// empty makes the engine hold nothing, as after a restart, which preserves the disk.
 func (e *engine) empty() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sequence, e.models, e.loading = 0, nil, ""
+	e.sequence, e.models, e.memory, e.loading = 0, nil, nil, ""
 }
 
 func (e *engine) seq() int64 {
@@ -250,8 +339,10 @@
 func (e *engine) settle() {
 	if e.loading != "" && !time.Now().Before(e.until) {
 		e.models = append(e.models, stub.Resident{Name: e.loading, Version: 1, Adapters: []string{}})
-		if !slices.Contains(e.memory, e.loading) {
-			e.memory = append(e.memory, e.loading)
+		for _, list := range []*[]string{&e.memory, &e.disk} {
+			if !slices.Contains(*list, e.loading) {
+				*list = append(*list, e.loading)
+			}
 		}
 		e.loading = ""
 	}
@@ -274,7 +365,7 @@
 	defer e.mu.Unlock()
 	return stub.Report{
 		Models: models, Busy: e.loading != "", Sequence: e.sequence, CacheTokens: e.spec.CacheTokens, State: state, Born: born,
-		Pending: []string{}, Runs: [][]any{}, Available: stub.Available{InMemory: slices.Clone(e.memory), OnDisk: []string{}},
+		Pending: []string{}, Runs: [][]any{}, Available: stub.Available{InMemory: append([]string{}, e.memory...), OnDisk: append([]string{}, e.disk...)},
 	}
 }
 
@@ -297,12 +388,16 @@
 	case o.Op == stub.OpUnload:
 		e.models = slices.Delete(e.models, i, i+1)
 	default:
-		load := 0.4
-		if !slices.Contains(e.memory, o.Model) {
-			for _, m := range e.spec.Models {
-				if m.Name == o.Model {
-					load = m.LoadS
-				}
+		load := 0.0
+		for _, m := range e.spec.Models {
+			switch {
+			case m.Name != o.Model:
+			case slices.Contains(e.memory, m.Name):
+				load = m.WarmS
+			case slices.Contains(e.disk, m.Name):
+				load = m.DiskS
+			default:
+				load = m.LoadS
 			}
 		}
 		e.loading, e.until = o.Model, time.Now().Add(time.Duration(load*float64(time.Second)))
