--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -11,6 +11,7 @@
 var cases = map[string]func(*world) (bool, error){
 	"crashing-request": crashingRequest,
 	"deadly-part":      deadlyPartAfterEvent,
+	"doubtful-version": doubtfulVersion,
 	"ended-limit":      endedLimit,
 	"frozen-release":   frozenRelease,
 	"restored-drain":   restoredDrain,
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -50,6 +50,8 @@
 	arrived []arrival
 	running map[string]run
 	waiting int
+	// away counts the requests that came when the runner was full.
+	away int
 	// places holds one entry for each request that runs.
 	places chan struct{}
 }
@@ -243,6 +245,7 @@
 	r.mu.Lock()
 	places := r.places
 	if len(places) == cap(places) && r.waiting >= r.queue {
+		r.away++
 		r.mu.Unlock()
 		return false
 	}
@@ -271,6 +274,13 @@
 	return taken
 }
 
+// turnedAway returns how many requests the runner has turned away because it was full.
+func (r *runner) turnedAway() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.away
+}
+
 // made counts an event of a run.
 func (r *runner) made(id string) {
 	r.mu.Lock()
