--- a/review/rig3/doubtfulversion.go
+++ b/review/rig3/doubtfulversion.go
@@ -31,6 +31,8 @@
 	// pause.
 	lostTime  = 2 * time.Second
 	lostPause = 3 * time.Second
+	// takeUpPause is how long a client waits before it takes up a stream that broke.
+	takeUpPause = time.Second
 	// mixedAllowed is the rule's bound.
 	mixedAllowed = 2
 )
@@ -137,7 +139,8 @@
 		clients               = 300
 		length                = 80 * time.Second
 		deadline              = 6 * time.Second
-		tries                 = 5
+		// The sheet's clients retry once.
+		tries = 2
 	)
 	spec := &stub.Engine{Slots: slots, CacheTokens: 231_707, WeightsMB: 220_000, AdapterSlots: 5, LoadsPerS: 2.1, Models: []stub.Model{{Name: "m0", WeightsMB: 65_100, AdapterMB: 40, LoadS: 5, WarmS: 0.38, DiskS: 1}}}
 	w.configure(func(c *stub.Config) {
@@ -225,6 +228,9 @@
 						s.takenUp++
 					}
 					breakAt = 0
+					if status == http.StatusOK && !s.ended {
+						after = takeUpPause
+					}
 					time.Sleep(min(after, time.Until(by)/3))
 				}
 				versions := map[string]bool{}
