--- a/internal/transport/proxy/metrics.go
+++ b/internal/transport/proxy/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"chervilhead/internal/state/resume"
 	"chervilhead/internal/transport/guard"
 )
 
@@ -100,7 +101,7 @@
 	if late != "" {
 		h.metrics.late.WithLabelValues(kind, late).Inc()
 	}
-	h.log.WithFields(c.access.fields()).WithFields(c.memoryFields()).WithFields(logrus.Fields{
+	h.log.WithFields(c.access.fields()).WithFields(c.memoryFields()).WithFields(c.resumptionFields()).WithFields(logrus.Fields{
 		"late": late, "gap_ms": c.longestGap.Milliseconds(),
 		"request": c.id, "route": c.route.Name, "group": c.group.Name, "name": c.req.ModelName.String(), "endpoint": c.choice.ID, "candidates": c.choice.CandidateCount,
 		"estimate_ms": c.choice.Estimate.Milliseconds(), "unread": c.choice.PrefillTokens, "backlog": c.choice.BacklogTokens, "start_wait_ms": c.choice.StartWait.Milliseconds(), "fetch": c.choice.LoadAdapter,
@@ -111,6 +112,18 @@
 	}).Info("request ended")
 }
 
+// resumptionFields returns what a resumption went by.
+func (c *call) resumptionFields() logrus.Fields {
+	if c.resumes == nil {
+		return nil
+	}
+	fields := logrus.Fields{"record": string(c.resumes.Source), "record_version": c.resumes.Record.Version, "settled": c.resumes.Settled, "version": c.version}
+	if named, ok := c.resumes.Mention.(resume.Named); ok {
+		fields["resumes"] = named.ID
+	}
+	return fields
+}
+
 // memoryFields returns what clients held when a request was refused for want of memory.
 func (c *call) memoryFields() logrus.Fields {
 	s, ok := guard.Held(c.in)
