proxy: a record made ahead of an attempt is replaced by that of the next one

Cause: a record is made before a request is sent. If the next endpoint's version was sure, two records contradicted each other, and the stream couldn't be taken up.

Change: a record has a revision, which names its call and counts its records; the newest one of a call counts. An attempt in doubt makes a record that says so, and an event takes a record back that has become doubtful. Records of other processes are read for each resumption that needs them and no longer count as the gateway's own.

TestRefusedAttemptNotRecorded failed before in both cases: events of version one followed events of version two, and a stream that could go on was rejected.

--- a/internal/coordination/keep/streams.go
+++ b/internal/coordination/keep/streams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -19,7 +20,7 @@
 const (
 	streamPrefix = "streams/"
 	// maxRowKeys and maxRowWrites bound the streams of one row and how often it is written again, so
-	// that a stream is written a few times only. 512 streams take 8 KB on the wire.
+	// that a stream is written a few times only. 512 streams take 11 KB on the wire.
 	maxRowKeys   = 512
 	maxRowWrites = 16
 	// maxRows bounds the rows of one process: resume.MaxRecords streams.
@@ -38,7 +39,7 @@
 
 // Streams keeps records of streams in the store's rows. A write takes what came since the last one, so
 // that the writes a second don't depend on the streams. At 1,600 streams a second one process keeps
-// 110 rows, 0.8 MB on the wire. It is safe for concurrent use.
+// 110 rows, 1.2 MB on the wire. It is safe for concurrent use.
 type Streams struct {
 	table  store.TableService
 	prefix string
@@ -78,6 +79,10 @@
 	Version string `json:"version"`
 	// Keys are the keys of the records, eight bytes each.
 	Keys []byte `json:"keys"`
+	// Revisions are those of the records, in the order of Keys, four bytes each.
+	Revisions []byte `json:"revisions,omitempty"`
+	// Doubtful is set if the streams may be of another version.
+	Doubtful bool `json:"doubtful,omitempty"`
 }
 
 // NewStreams returns the records of a process, which writes rows under its name.
@@ -237,19 +242,29 @@
 }
 
 func (r streamRow) encode(at stamp) []byte {
-	type version struct{ service, version string }
-	keys := map[version][]uint64{}
+	type version struct {
+		service, version string
+		doubtful         bool
+	}
+	versions := map[version][]resume.Record{}
 	for rec := range r.streams {
-		v := version{rec.Service, rec.Version}
-		keys[v] = append(keys[v], rec.Key)
+		v := version{rec.Service, rec.Version, rec.Doubtful}
+		versions[v] = append(versions[v], rec)
 	}
 	w := wireStreams{stamp: at}
-	for v, list := range keys {
-		slices.Sort(list)
-		w.Streams = append(w.Streams, wireVersionStreams{v.service, v.version, encodeKeys(list)})
+	for v, list := range versions {
+		slices.SortFunc(list, func(a, b resume.Record) int {
+			return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Revision, b.Revision))
+		})
+		out := wireVersionStreams{Service: v.service, Version: v.version, Doubtful: v.doubtful}
+		for _, rec := range list {
+			out.Keys = binary.LittleEndian.AppendUint64(out.Keys, rec.Key)
+			out.Revisions = binary.LittleEndian.AppendUint32(out.Revisions, uint32(rec.Revision))
+		}
+		w.Streams = append(w.Streams, out)
 	}
 	slices.SortFunc(w.Streams, func(a, b wireVersionStreams) int {
-		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version))
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Version, b.Version), cmp.Compare(len(a.Keys), len(b.Keys)))
 	})
 	// Marshalling strings and numbers doesn't fail.
 	data, _ := json.Marshal(w)
@@ -259,8 +274,12 @@
 func (w wireStreams) records() []resume.Record {
 	var out []resume.Record
 	for _, v := range w.Streams {
-		for _, k := range decodeKeys(v.Keys) {
-			out = append(out, resume.Record{Key: k, Service: v.Service, Version: v.Version})
+		for i, k := range decodeKeys(v.Keys) {
+			rec := resume.Record{Key: k, Service: v.Service, Version: v.Version, Doubtful: v.Doubtful}
+			if r := v.Revisions; len(r) >= 4*(i+1) {
+				rec.Revision = resume.Revision(binary.LittleEndian.Uint32(r[4*i:]))
+			}
+			out = append(out, rec)
 		}
 	}
 	return out
--- a/internal/state/resume/decide.go
+++ b/internal/state/resume/decide.go
@@ -92,10 +92,12 @@
 func Decide(e Evidence) Decision {
 	recorded := e.Recorded()
 	switch {
-	case recorded && e.Record.Service == e.Service:
+	case recorded && e.Record.Service == e.Service && !e.Record.Doubtful:
 		return Continue{e.Record.Version}
 	case e.Settled:
 		return Continue{e.SettledVersion}
+	case recorded && e.Record.Service == e.Service:
+		return Reject{"version_in_doubt"}
 	case recorded:
 		return Reject{"resumes_other_service"}
 	}
--- a/internal/state/resume/fleet_test.go
+++ b/internal/state/resume/fleet_test.go
@@ -117,7 +117,7 @@
 	f.begun++
 	s := &simStream{KeyOf("s", fmt.Sprint("r", f.begun)), v, f.now}
 	f.streams = append(f.streams, s)
-	f.put(g, Record{s.key, "s", v})
+	f.put(g, Record{Key: s.key, Service: "s", Version: v})
 }
 
 // resume resumes a stream at a gateway, if its caller still would; named is set if it names it.
@@ -160,7 +160,7 @@
 	f.resumed++
 	s.lastEventAt = f.now
 	if named {
-		f.put(g, Record{s.key, "s", s.version})
+		f.put(g, Record{Key: s.key, Service: "s", Version: s.version})
 	}
 }
 
--- a/internal/state/resume/record.go
+++ b/internal/state/resume/record.go
@@ -16,11 +16,44 @@
 	MaxRecords = 65536
 )
 
-// Record says which service and software version began a stream.
+// Record says which service and software version began a stream. One that is made before its request
+// is sent is replaced by the record of the next attempt.
 type Record struct {
 	// Key identifies the stream; it is KeyOf of its service and a request id.
 	Key              uint64
 	Service, Version string
+	// Doubtful is set if the endpoint may have been restarted with another version than Version.
+	Doubtful bool
+	// Revision orders the records that one call made of its stream.
+	Revision Revision
+}
+
+// Revision names a call by its upper 24 bits, and counts the records of the call in the others.
+type Revision uint32
+
+// revisionBits is the number of bits that count the records of a call.
+const revisionBits = 8
+
+// NewRevision returns the revision before the first record of a call, which a random number names.
+func NewRevision(random uint32) Revision { return Revision(random &^ (1<<revisionBits - 1)) }
+
+// sameCall reports whether two records were made by one call.
+func (r Revision) sameCall(o Revision) bool { return r>>revisionBits == o>>revisionBits }
+
+// newest returns which of two records of a stream counts, and false if they contradict each other:
+// request ids are unique, so one of the callers took the other's.
+func newest(a, b Record) (Record, bool) {
+	switch {
+	case a.Service == b.Service && a.Revision.sameCall(b.Revision) && a.Revision != b.Revision:
+		if a.Revision > b.Revision {
+			return a, true
+		}
+		return b, true
+	case a == b || a.Service == b.Service && a.Version == b.Version && a.Doubtful == b.Doubtful:
+		return a, true
+	default:
+		return a, false
+	}
 }
 
 // KeyOf returns the key of the stream of a service whose first event the request with an id got.
@@ -41,8 +74,8 @@
 type entry struct {
 	record Record
 	putAt  time.Time
-	// ambiguous is set once two versions were recorded under the key: request ids are unique, so
-	// one of the callers took the other's, and either could be joined to the wrong version.
+	// ambiguous is set once records under the key contradicted each other: either caller could be
+	// joined to the wrong version.
 	ambiguous bool
 }
 
@@ -56,8 +89,8 @@
 	r.drop(now)
 	if el, ok := r.byKey[rec.Key]; ok {
 		e := el.Value.(*entry)
-		e.ambiguous = e.ambiguous || e.record != rec
-		e.putAt = now
+		counts, agree := newest(e.record, rec)
+		e.record, e.ambiguous, e.putAt = counts, e.ambiguous || !agree, now
 		r.order.MoveToFront(el)
 		return
 	}
--- a/internal/state/resume/resume_test.go
+++ b/internal/state/resume/resume_test.go
@@ -15,9 +15,9 @@
 // TestRecords guards against records that last too long, fill the memory or tell one caller's version for another's.
 func TestRecords(t *testing.T) {
 	r := NewRecords()
-	one := Record{1, "s", "one"}
+	one := Record{Key: 1, Service: "s", Version: "one"}
 	r.Put(one, at(0))
-	r.Put(Record{2, "s", "two"}, at(0))
+	r.Put(Record{Key: 2, Service: "s", Version: "two"}, at(0))
 	r.Put(one, at(20))
 	if got, ok := r.Get(1, at(49)); !ok || got != one {
 		t.Errorf("a refreshed record: %v, %v", got, ok)
@@ -25,13 +25,13 @@
 	if _, ok := r.Get(2, at(30)); ok {
 		t.Error("a record lasts for 30 s or more")
 	}
-	r.Put(Record{1, "s", "two"}, at(49))
+	r.Put(Record{Key: 1, Service: "s", Version: "two"}, at(49))
 	r.Put(one, at(49))
 	if got, ok := r.Get(1, at(49)); ok || len(r.OfService("s", at(49))) != 0 {
 		t.Errorf("two versions under one key: got %v, want none", got)
 	}
 	for i := range uint64(MaxRecords + 1) {
-		r.Put(Record{100 + i, "s", "one"}, at(50))
+		r.Put(Record{Key: 100 + i, Service: "s", Version: "one"}, at(50))
 	}
 	_, oldest := r.Get(100, at(50))
 	_, second := r.Get(101, at(50))
@@ -103,7 +103,7 @@
 
 // TestDecide guards against a decision from less than what is known.
 func TestDecide(t *testing.T) {
-	named, rec := ParseMention([]string{"r1"}), Record{KeyOf("s", "r1"), "s", "one"}
+	named, rec := ParseMention([]string{"r1"}), Record{Key: KeyOf("s", "r1"), Service: "s", Version: "one"}
 	for _, tc := range []struct {
 		name string
 		e    Evidence
@@ -112,8 +112,8 @@
 		{"own record", Evidence{Mention: named, Record: rec, Source: OwnRecord}, Continue{"one"}},
 		{"keeper's record", Evidence{Mention: named, Record: rec, Source: KeeperRecord}, Continue{"one"}},
 		{"record of another version than the settled one", Evidence{Mention: named, Record: rec, Source: KeeperRecord, Settled: true, SettledVersion: "two"}, Continue{"one"}},
-		{"record of another service", Evidence{Mention: named, Record: Record{1, "o", "one"}, Source: OwnRecord}, Reject{"resumes_other_service"}},
-		{"record of another service, settled", Evidence{Mention: named, Record: Record{1, "o", "one"}, Source: OwnRecord, Settled: true, SettledVersion: "two"}, Continue{"two"}},
+		{"record of another service", Evidence{Mention: named, Record: Record{Key: 1, Service: "o", Version: "one"}, Source: OwnRecord}, Reject{"resumes_other_service"}},
+		{"record of another service, settled", Evidence{Mention: named, Record: Record{Key: 1, Service: "o", Version: "one"}, Source: OwnRecord, Settled: true, SettledVersion: "two"}, Continue{"two"}},
 		{"settled", Evidence{Mention: Missing{}, Source: NoRecord, Settled: true, SettledVersion: "two"}, Continue{"two"}},
 		{"settled at the empty version", Evidence{Mention: named, Source: KeepersSilent, Settled: true}, Continue{""}},
 		{"missing", Evidence{Mention: Missing{}, Source: NoRecord}, Reject{"resumes_missing"}},
--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -213,19 +213,11 @@
 
 // handOver sends records of streams to the planner.
 func (d *durable) handOver(planner string, recs []resume.Record) {
-	type version struct{ service, version string }
-	keys := map[version][]uint64{}
-	for _, r := range recs {
-		v := version{r.Service, r.Version}
-		keys[v] = append(keys[v], r.Key)
-	}
 	addr, err := net.ResolveUDPAddr("udp4", planner)
-	for v, list := range keys {
-		for _, m := range dgram.NewStreamRecords(v.service, v.version, list) {
-			data, encodeErr := dgram.Encode(m)
-			if err = errors.Join(err, encodeErr); err == nil {
-				_, err = d.plane.conn.WriteTo(data, addr)
-			}
+	for _, m := range dgram.NewStreamRecords(recs) {
+		data, encodeErr := dgram.Encode(m)
+		if err = errors.Join(err, encodeErr); err == nil {
+			_, err = d.plane.conn.WriteTo(data, addr)
 		}
 	}
 	if err != nil {
@@ -235,13 +227,7 @@
 
 // takeOver keeps the records that another gateway handed over.
 func (d *durable) takeOver(m *dgram.StreamRecords) {
-	var recs []resume.Record
-	for _, s := range m.Streams {
-		for _, k := range s.Keys {
-			recs = append(recs, resume.Record{Key: k, Service: s.Service, Version: s.Version})
-		}
-	}
-	d.streams.Put(recs, time.Now())
+	d.streams.Put(m.Records(), time.Now())
 }
 
 // ReadStreams implements proxy.Durable. Calls within streamReadInterval share one read.
--- a/internal/transport/control/streams.go
+++ b/internal/transport/control/streams.go
@@ -40,7 +40,7 @@
 // streamReply is a keeper's reply to a query.
 type streamReply struct {
 	from    string
-	streams []dgram.VersionStreams
+	records []resume.Record
 }
 
 // add returns the number of a new query and the channel of its replies; a later incarnation of the
@@ -69,7 +69,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	select {
-	case q.waiting[m.Query] <- streamReply{from, m.Streams}:
+	case q.waiting[m.Query] <- streamReply{from, m.Records()}:
 	default:
 	}
 }
@@ -121,20 +121,15 @@
 // SendStreamRecords implements proxy.ControlPlane.
 func (p *Plane) SendStreamRecords(service string, recs []resume.Record) {
 	hosts := p.engineHosts(p.view(), service)
-	keys := map[netip.Addr]map[string][]uint64{}
+	held := map[netip.Addr][]resume.Record{}
 	for _, rec := range recs {
 		for _, h := range holders(hosts, rec.Key, streamHolders) {
-			if keys[h] == nil {
-				keys[h] = map[string][]uint64{}
-			}
-			keys[h][rec.Version] = append(keys[h][rec.Version], rec.Key)
+			held[h] = append(held[h], rec)
 		}
 	}
-	for h, versions := range keys {
-		for version, list := range versions {
-			for _, m := range dgram.NewStreamRecords(service, version, list) {
-				p.sendToHost(h, m)
-			}
+	for h, list := range held {
+		for _, m := range dgram.NewStreamRecords(list) {
+			p.sendToHost(h, m)
 		}
 	}
 }
@@ -162,9 +157,9 @@
 		for waiting := true; waiting; {
 			select {
 			case r := <-replies:
-				for _, s := range r.streams {
-					if slices.Contains(s.Keys, key) {
-						return resume.Record{Key: key, Service: s.Service, Version: s.Version}, resume.KeeperRecord
+				for _, rec := range r.records {
+					if rec.Key == key {
+						return rec, resume.KeeperRecord
 					}
 				}
 				if delete(silent, r.from); len(silent) == 0 {
--- a/internal/transport/control/versions_test.go
+++ b/internal/transport/control/versions_test.go
@@ -153,19 +153,19 @@
 
 // TestStreamRecordDatagrams guards against records that don't fit a datagram.
 func TestStreamRecordDatagrams(t *testing.T) {
-	keys := make([]uint64, 2000)
-	for i := range keys {
-		keys[i] = 1<<63 + uint64(i)
+	recs := make([]resume.Record, 2000)
+	for i := range recs {
+		recs[i] = resume.Record{Key: 1<<63 + uint64(i), Service: "service", Version: "version", Revision: 1<<31 + resume.Revision(i)}
 	}
 	n := 0
-	for _, m := range dgram.NewStreamRecords("service", "version", keys) {
+	for _, m := range dgram.NewStreamRecords(recs) {
 		if _, err := dgram.Encode(m); err != nil {
 			t.Fatal(err)
 		}
 		n += len(m.Streams[0].Keys)
 	}
-	if n != len(keys) {
-		t.Errorf("%d keys in the messages, want %d", n, len(keys))
+	if n != len(recs) {
+		t.Errorf("%d keys in the messages, want %d", n, len(recs))
 	}
 }
 
--- a/internal/transport/keeper/streams.go
+++ b/internal/transport/keeper/streams.go
@@ -10,10 +10,8 @@
 
 // putStreams keeps the records of streams that a gateway sent, for gateways that lack them.
 func (k *Keeper) putStreams(m *dgram.StreamRecords, now time.Time) {
-	for _, s := range m.Streams {
-		for _, key := range s.Keys {
-			k.streams.Put(resume.Record{Key: key, Service: s.Service, Version: s.Version}, now)
-		}
+	for _, rec := range m.Records() {
+		k.streams.Put(rec, now)
 	}
 }
 
@@ -21,7 +19,7 @@
 func (k *Keeper) replyStream(q *dgram.StreamQuery, to net.Addr, now time.Time) {
 	reply := &dgram.StreamRecords{Query: q.Query}
 	if rec, ok := k.streams.Get(q.Key, now); ok {
-		reply.Streams = []dgram.VersionStreams{{Service: rec.Service, Version: rec.Version, Keys: []uint64{q.Key}}}
+		reply.Streams = dgram.NewVersionStreams([]resume.Record{rec})
 	}
 	data, err := dgram.Encode(reply)
 	if err == nil {
--- a/internal/transport/proxy/durable.go
+++ b/internal/transport/proxy/durable.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,11 +34,11 @@
 	claimTimeout = 300 * time.Millisecond
 )
 
-// RestoreStreams takes records of streams that outlived the processes that made them.
+// RestoreStreams takes the records of streams that processes have kept.
 func (h *Handler) RestoreStreams(recs []resume.Record) {
 	now := time.Now()
 	for _, rec := range recs {
-		h.versions.records.Put(rec, now)
+		h.versions.restored.Put(rec, now)
 	}
 }
 
@@ -110,24 +111,38 @@
 }
 
 // saveStream keeps the record of a stream for gateways that start after all others have ended.
-func (h *Handler) saveStream(rec resume.Record) {
+func (h *Handler) saveStream(c *call, rec resume.Record) {
+	c.shared = true
 	if h.cfg.Durable != nil {
 		h.cfg.Durable.SaveStreams([]resume.Record{rec})
 	}
 }
 
 // recordAhead keeps the record of a stream before its request is sent, so that it is kept when the
-// caller gets the first event. A request that goes on to an endpoint of another version leaves two
-// records, neither of which counts.
+// caller gets the first event. The record of the next attempt replaces it, also one that only says that
+// the version is in doubt.
 func (h *Handler) recordAhead(c *call, e fleet.Endpoint) {
 	if h.cfg.Durable == nil || c.route.Kind != fleet.Stream || !c.route.Resumable || c.bound || c.id == "" {
 		return
 	}
 	c.sentAt = time.Now()
-	if _, settled := h.settled(c.req.Service); settled && len(c.route.Targets) == 1 || !h.versionSure(c, e) {
-		return
+	if rec := c.newRecord(c.id, e.SoftwareVersion, !h.versionSure(c, e)); c.shared || !h.impliedByService(c, rec) {
+		h.saveStream(c, rec)
+	}
+}
+
+// newRecord returns the record of the stream that the request with an id began at a version. It
+// replaces the last one of the call if that says otherwise.
+func (c *call) newRecord(id, version string, doubtful bool) resume.Record {
+	rec := resume.Record{Key: resume.KeyOf(c.req.Service, id), Service: c.req.Service, Version: version, Doubtful: doubtful, Revision: c.record.Revision}
+	if rec != c.record {
+		if rec.Revision == 0 {
+			rec.Revision = resume.NewRevision(rand.Uint32())
+		}
+		rec.Revision++
+		c.record = rec
 	}
-	h.saveStream(resume.Record{Key: resume.KeyOf(c.req.Service, c.id), Service: c.req.Service, Version: e.SoftwareVersion})
+	return rec
 }
 
 // readStream looks for the record of a stream among those that outlive all processes.
@@ -143,15 +158,14 @@
 	defer cancel()
 	if err := h.cfg.Durable.ReadStreams(ctx); err != nil {
 		h.log.WithError(err).WithField("request", c.id).Debug("the records of streams were not read")
-		return resume.Record{}, false
 	}
-	return h.ownRecord(c, id)
+	return recordIn(h.versions.restored, c, id)
 }
 
-// ownRecord returns the record that this gateway has of a stream of one of the route's services.
-func (h *Handler) ownRecord(c *call, id string) (resume.Record, bool) {
+// recordIn returns the record of a stream of one of the route's services.
+func recordIn(records *resume.Records, c *call, id string) (resume.Record, bool) {
 	for _, t := range c.route.Targets {
-		if rec, ok := h.versions.records.Get(resume.KeyOf(t.Service, id), time.Now()); ok {
+		if rec, ok := records.Get(resume.KeyOf(t.Service, id), time.Now()); ok {
 			return rec, true
 		}
 	}
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -207,6 +207,10 @@
 	sentAt time.Time
 	// recordedAt is when the record of the request's stream was last put.
 	recordedAt time.Time
+	// record is the last one that the call made of its stream, and shared is set once one of them was
+	// sent to other processes, which must get those that replace it.
+	record resume.Record
+	shared bool
 	// redirectChecked is set once the choice was compared with the one without versions.
 	redirectChecked bool
 	// cachedRequestKey is set by requestKey.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -21,8 +21,10 @@
 
 // streamVersions is what the gateway knows of the versions of services and streams.
 type streamVersions struct {
-	records *resume.Records
-	history *resume.History
+	// records are those of streams that this gateway served, restored those that other processes made,
+	// which may replace them at any time.
+	records, restored *resume.Records
+	history           *resume.History
 
 	mu sync.Mutex
 	// shared holds, by service, what the keepers were last sent the records for.
@@ -37,7 +39,7 @@
 }
 
 func newStreamVersions() *streamVersions {
-	return &streamVersions{records: resume.NewRecords(), history: resume.NewHistory(time.Now()), shared: map[string]sharedRecords{}}
+	return &streamVersions{records: resume.NewRecords(), restored: resume.NewRecords(), history: resume.NewHistory(time.Now()), shared: map[string]sharedRecords{}}
 }
 
 // ObserveVersions takes a new view of the endpoints.
@@ -102,7 +104,7 @@
 	if !isNamed {
 		return
 	}
-	if rec, ok := h.ownRecord(c, named.ID); ok {
+	if rec, ok := recordIn(h.versions.records, c, named.ID); ok {
 		c.resumes.Record, c.resumes.Source = rec, resume.OwnRecord
 		return
 	}
@@ -180,17 +182,29 @@
 	now := time.Now()
 	c.recordedAt = now
 	h.versions.records.Put(rec, now)
-	version, settled := h.settled(rec.Service)
-	if !settled || version != rec.Version || len(c.route.Targets) > 1 {
+	if c.shared || !h.impliedByService(c, rec) {
 		h.control.SendStreamRecords(rec.Service, []resume.Record{rec})
-		h.saveStream(rec)
+		h.saveStream(c, rec)
 	}
 }
 
+// impliedByService reports whether all gateways can tell the version of a stream without its record.
+func (h *Handler) impliedByService(c *call, rec resume.Record) bool {
+	version, settled := h.settled(rec.Service)
+	return settled && version == rec.Version && !rec.Doubtful && len(c.route.Targets) == 1
+}
+
 // recordEvent binds a request to the version of the endpoint that sent an event of its stream, and
-// keeps the stream's record. While the endpoint's version is in doubt it does neither.
+// keeps the stream's record. While the endpoint's version is in doubt it only takes back a record that
+// says otherwise.
 func (h *Handler) recordEvent(c *call, e fleet.Endpoint) {
-	if !c.route.Resumable || !c.bound && !h.versionSure(c, e) {
+	if !c.route.Resumable {
+		return
+	}
+	if !c.bound && !h.versionSure(c, e) {
+		if c.shared && !c.record.Doubtful {
+			h.saveStream(c, c.newRecord(c.id, c.record.Version, true))
+		}
 		return
 	}
 	c.bound, c.version = true, e.SoftwareVersion
@@ -228,9 +242,17 @@
 			id = named.ID
 		}
 	}
-	if id != "" && c.bound && c.route.Resumable {
-		h.putRecord(c, resume.Record{Key: resume.KeyOf(c.req.Service, id), Service: c.req.Service, Version: c.version})
+	if id == "" || !c.bound || !c.route.Resumable {
+		return
+	}
+	if c.resumes != nil && c.resumes.Recorded() {
+		if rec := c.resumes.Record; rec.Service == c.req.Service && rec.Version == c.version && !rec.Doubtful {
+			// The record of the call that began the stream stands.
+			h.putRecord(c, rec)
+			return
+		}
 	}
+	h.putRecord(c, c.newRecord(id, c.version, false))
 }
 
 // states returns the endpoints that may get a request.
--- a/internal/transport/proxy/versions_test.go
+++ b/internal/transport/proxy/versions_test.go
@@ -30,8 +30,10 @@
 	endpoints []fleet.Endpoint
 	fakes     []*fakeEndpoint
 	// breaks is the number of the next streams that break after two events.
-	breaks  atomic.Int64
-	keepers *fakeKeepers
+	breaks atomic.Int64
+	// turnsAway is set while the first endpoint turns requests away.
+	turnsAway atomic.Bool
+	keepers   *fakeKeepers
 }
 
 // newVersionFleet starts one endpoint for each version, each in a failure domain of its own.
@@ -39,6 +41,10 @@
 	f := &versionFleet{t: t, keepers: newFakeKeepers()}
 	for i, v := range versions {
 		fake := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+			if i == 0 && f.turnsAway.Load() {
+				reject(r, "", c)
+				return
+			}
 			broken := f.breaks.Add(-1) >= 0
 			startStream(c, r)
 			sent := 0
