proxy: an endpoint that goes on answering has not been restarted

After a connection to an endpoint broke, its version is in doubt until its agent reports it again, for up to 3 s if the agent is lost; streams that begin meanwhile can't be taken up while two versions serve. Beside endpoints that break off some answers that is always: there is a new break before the next report.

An event on a connection from before the break shows that the endpoint outlived it. Breaks are kept as a span, so that an event of a later incarnation ends only the part of it that it disproves; until now the newest break hid the earlier ones from a request that was sent between them.

TestStreamOutlivesBreak fails without the line in stream.go.

--- a/internal/state/resume/resume_test.go
+++ b/internal/state/resume/resume_test.go
@@ -179,3 +179,27 @@
 		t.Errorf("%d services are kept 30 s after the last was gone, want none", n)
 	}
 }
+
+// TestBreaks guards against an endpoint that counts as not restarted because of an event that another incarnation of it may have sent, and against one whose version stays in doubt though it goes on answering.
+func TestBreaks(t *testing.T) {
+	b := Breaks{}.WithBreak(at(1)).WithBreak(at(2)).WithBreak(at(3))
+	for _, tc := range []struct {
+		name         string
+		b            Breaks
+		before, want time.Time
+	}{
+		{"none", Breaks{}, at(9), time.Time{}},
+		{"all came later", b, at(1), time.Time{}},
+		{"all came earlier", b, at(4), at(3)},
+		{"one came later", b, at(2.5), at(2.5)},
+		{"an answer to a request sent before all", b.WithEvent(at(0.5)), at(9), time.Time{}},
+		{"an answer to a request sent after the first", b.WithEvent(at(1.5)), at(9), at(1.5)},
+		{"an answer to a request sent after all", b.WithEvent(at(3.5)), at(9), at(3)},
+		{"a break after an answer", b.WithEvent(at(0.5)).WithBreak(at(4)), at(9), at(4)},
+		{"a break long after the others", b.WithBreak(at(60)).WithEvent(at(59)), at(70), time.Time{}},
+	} {
+		if got := tc.b.Before(tc.before); !got.Equal(tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/transport/proxy/dispatch.go
+++ b/internal/transport/proxy/dispatch.go
@@ -421,7 +421,6 @@
 		hd.Set(h.cfg.Headers.LastEventID, c.lastEventID)
 	}
 	sent := time.Now()
-	c.sentAt = sent
 	resp, err := h.pool.Do(c.ctx, poolKey(e), e.Address, &http1.Request{
 		Method: c.in.Method, Target: c.in.RequestURI, Host: c.in.Host, Header: hd, Body: c.body.Segments(), Trailer: h.cfg.Headers.requestHeader(c.in.Trailer),
 		IDHeader: h.cfg.Headers.RequestID, ID: c.id, DialTimeout: dialTimeout(c.route),
@@ -429,6 +428,7 @@
 			if h.tracker.pauses.Left(e.IncarnationID(), time.Now()) > 0 {
 				return errPaused
 			}
+			c.sentAt = time.Now()
 			return nil
 		},
 		Reserve: func(bytes int64) error { return guard.Reserve(c.in, bytes) },
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -203,7 +203,7 @@
 	// once the store has said since the request came which version each is of.
 	bound, confirmed bool
 	version          string
-	// sentAt is when the newest attempt was sent.
+	// sentAt is when the newest attempt had its connection, or was about to get one.
 	sentAt time.Time
 	// recordedAt is when the record of the request's stream was last put.
 	recordedAt time.Time
--- a/internal/transport/proxy/recordahead_test.go
+++ b/internal/transport/proxy/recordahead_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,3 +68,68 @@
 		}
 	}
 }
+
+// TestStreamOutlivesBreak guards against streams that can't be taken up because an endpoint's version stays in doubt after a connection broke, though its other streams go on.
+func TestStreamOutlivesBreak(t *testing.T) {
+	f := newVersionFleet(t, "one", "two")
+	next := make(chan struct{})
+	e := startEndpoint(t, func(r *http.Request, _ string, c net.Conn) {
+		startStream(c, r)
+		writeChunk(c, "id: 1\ndata: one\n\n")
+		if r.Header.Get("Test-Slow") == "" {
+			_ = c.Close()
+			return
+		}
+		for id := 2; id <= 3; id++ {
+			<-next
+			writeChunk(c, fmt.Sprintf("id: %d\ndata: one\n\n", id))
+		}
+		writeChunk(c, "")
+	})
+	f.endpoints[0].Address = e.addr
+	g := f.gateway("z0", 1)
+	d := &fakeDurable{records: resume.NewRecords(), h: g.handler}
+	g.handler.cfg.Durable = d
+	g.handler.RestoreCrashes(nil)
+	// The gateway has seen both versions, and only this endpoint is left.
+	f.list(g, f.endpoints[0])
+	states := slices.Clone(*g.states.Load())
+	states[0].StatusSupersedes, states[0].Status = true, fleet.Status{ReceivedAt: time.Now(), Incarnation: 1, Alive: true, Models: states[0].Models}
+	g.states.Store(&states)
+
+	var slow sync.WaitGroup
+	slow.Go(func() { f.call(g, "slow", "", "Test-Slow", "1") })
+	waitUntil(t, "the endpoint has the slow request", func() bool { return e.requests.Load() == 1 })
+	doubtful := func(id string) bool {
+		f.call(g, id, "")
+		rec, ok := d.records.Get(resume.KeyOf("s", id), time.Now())
+		if !ok || rec.Version != "one" {
+			t.Fatalf("the record of stream %s is %+v, known %v", id, rec, ok)
+		}
+		return rec.Doubtful
+	}
+	if doubtful("r1") {
+		t.Error("the version is in doubt before anything broke")
+	}
+	if !doubtful("r2") {
+		t.Error("the version isn't in doubt after a connection broke")
+	}
+	next <- struct{}{}
+	waitUntil(t, "the slow stream's event arrives", func() bool { return g.handler.tracker.breaks(f.endpoints[0]).Last().IsZero() })
+	if doubtful("r3") {
+		t.Error("the version is in doubt though the slow stream went on")
+	}
+	next <- struct{}{}
+	slow.Wait()
+}
+
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 200 {
+		if holds() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not within 2 s: %s", what)
+}
--- a/internal/transport/proxy/stream.go
+++ b/internal/transport/proxy/stream.go
@@ -71,6 +71,7 @@
 			}
 			c.lastEventAt = now
 			h.writeStreamHeader(c, resp)
+			h.tracker.recordOutlived(e, c.sentAt)
 			h.recordEvent(c, e)
 			if id := events.Parse(pending[:complete]).LastID; id != "" {
 				c.lastEventID = id
--- a/internal/transport/proxy/tracker.go
+++ b/internal/transport/proxy/tracker.go
@@ -14,6 +14,7 @@
 	"chervilhead/internal/state/pace"
 	"chervilhead/internal/state/pick"
 	"chervilhead/internal/state/ramp"
+	"chervilhead/internal/state/resume"
 )
 
 // maxCachedPrefixes bounds the prompt prefixes in the cache estimate of one endpoint.
@@ -48,8 +49,8 @@
 	health         health.Record
 	cachedPrefixes map[uint64]*list.Element
 	lru            *list.List
-	// brokeAt is when a connection to the endpoint last broke or could not be opened.
-	brokeAt time.Time
+	// breaks are those of connections to the endpoint, also of ones that could not be opened.
+	breaks resume.Breaks
 	// usedAdapters are the adapters requested since the last takeUsedAdapters.
 	usedAdapters map[string]struct{}
 	// activeNames counts the requests in flight by model name.
@@ -329,7 +330,7 @@
 	r := t.endpoint(e)
 	r.health = r.health.WithConnectFailure(time.Now())
 	t.ramps.record(e, ramp.Failure{}, time.Now())
-	r.brokeAt = time.Now()
+	r.breaks = r.breaks.WithBreak(time.Now())
 }
 
 // recordLatency records a measured time to the first token, or to a plain response.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -225,12 +225,7 @@
 	if states[i].IncarnationID() != e.IncarnationID() {
 		return false
 	}
-	brokeAt := func(e fleet.Endpoint) time.Time {
-		if at := h.tracker.brokeAt(e); at.Before(c.sentAt) {
-			return at
-		}
-		return time.Time{}
-	}
+	brokeAt := func(e fleet.Endpoint) time.Time { return h.tracker.breaks(e).Before(c.sentAt) }
 	return len(resume.AtVersion(states[i:i+1], e.Service, e.SoftwareVersion, brokeAt, h.view().EndpointsConfirmedAt)) > 0
 }
 
@@ -278,7 +273,8 @@
 
 // boundStates returns the endpoints of a bound request's version.
 func (h *Handler) boundStates(c *call) []fleet.State {
-	return resume.AtVersion(h.control.States(), c.req.Service, c.version, h.tracker.brokeAt, h.view().EndpointsConfirmedAt)
+	brokeAt := func(e fleet.Endpoint) time.Time { return h.tracker.breaks(e).Last() }
+	return resume.AtVersion(h.control.States(), c.req.Service, c.version, brokeAt, h.view().EndpointsConfirmedAt)
 }
 
 // confirmTimeout bounds the wait for the store's word on the endpoints, which it gives in
@@ -348,15 +344,26 @@
 func (t *tracker) recordBroken(e fleet.Endpoint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endpoint(e).brokeAt = time.Now()
+	r := t.endpoint(e)
+	r.breaks = r.breaks.WithBreak(time.Now())
+}
+
+// recordOutlived records that an endpoint answers a request that was sent at a time, so that it has not
+// been restarted since.
+func (t *tracker) recordOutlived(e fleet.Endpoint, sentAt time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.endpoints[e.ID]; ok && r.incarnation == e.IncarnationID() {
+		r.breaks = r.breaks.WithEvent(sentAt)
+	}
 }
 
-// brokeAt returns when a connection to an endpoint incarnation last broke or could not be opened.
-func (t *tracker) brokeAt(e fleet.Endpoint) time.Time {
+// breaks returns the breaks of connections to an endpoint incarnation.
+func (t *tracker) breaks(e fleet.Endpoint) resume.Breaks {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.endpoints[e.ID]; ok && r.incarnation == e.IncarnationID() {
-		return r.brokeAt
+		return r.breaks
 	}
-	return time.Time{}
+	return resume.Breaks{}
 }
