control: the planner relays crash reports, and a new one reads what the store holds

Cause: crash reports reached other gateways through agents only. The rows in the store hold them too, but gateways read those at their start and after agents had started again.

Change: the planner relays crash reports as agents do, to the gateways that report demand to it, and repeats them once. The one that takes the lease reads the rows of all gateways, once, and tells the others, which covers crashes while there was no planner. While a gateway hears neither a planner nor an agent it reads the rows every 3 s. With that, counting the restarts of agents to read the rows again is gone.

--- a/internal/transport/control/announce.go
+++ b/internal/transport/control/announce.go
@@ -54,10 +54,10 @@
 }
 
 // broadcast sends a message to all gateways that reported demand within demandTTL.
-func (p *planner) broadcast(m *dgram.PlannerStatus, now time.Time) {
+func (p *planner) broadcast(m dgram.Message, now time.Time) {
 	data, err := dgram.Encode(m)
 	if err != nil {
-		p.plane.log.WithError(err).Error("the planner announcement could not be encoded")
+		p.plane.log.WithError(err).Error("a message of the planner could not be encoded")
 		return
 	}
 	var to []string
@@ -74,7 +74,7 @@
 			_, err = p.plane.conn.WriteTo(data, addr)
 		}
 		if err != nil {
-			p.plane.log.WithError(err).WithField("gateway", a).Debug("the planner announcement was not sent")
+			p.plane.log.WithError(err).WithField("gateway", a).Debug("a message of the planner was not sent")
 		}
 	}
 }
--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -5,11 +5,11 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"chervilhead/internal/coordination/keep"
 	"chervilhead/internal/protocol/dgram"
+	"chervilhead/internal/state/poison"
 	"chervilhead/internal/state/resume"
 	"chervilhead/internal/transport/proxy"
 )
@@ -33,11 +33,6 @@
 	// crashWritesPerS times a second at most.
 	minCrashInterval = 2 * time.Second
 	crashWritesPerS  = 100
-	// crashReadDelay is the time between restarts of keepers that may have held a crash record and the
-	// read of those in the store, in which gateways write what they know, and crashReadInterval the
-	// pause after it.
-	crashReadDelay    = 500 * time.Millisecond
-	crashReadInterval = 3 * time.Second
 	// maxReadDelay bounds the pause after a read that failed, which doubles with each further one.
 	maxReadDelay = 3200 * time.Millisecond
 	// streamReadInterval is the least time between two reads of the records of streams, which many
@@ -66,10 +61,9 @@
 	// handedOver are the batches that the planner was sent and didn't say it has kept, oldest first.
 	handedOver []*batch
 	lastBatch  uint64
-
-	// keeperRestarts counts the keepers that started again since the crash records were last read.
-	keeperRestarts atomic.Int64
-	keepersLost    chan struct{}
+	// readCrashes are the crash reports that were read last, at crashesReadAt.
+	readCrashes   []poison.CrashReport
+	crashesReadAt time.Time
 
 	reading sync.Mutex
 	// readAt is when the last read of the records began.
@@ -115,7 +109,7 @@
 			return max(minCrashInterval, time.Duration(d.plane.GatewayBound())*time.Second/crashWritesPerS)
 		})
 	})
-	wg.Go(func() { d.rereadCrashes(ctx) })
+	wg.Go(func() { d.readCrashesAlone(ctx) })
 	tick := time.NewTicker(streamFlushInterval)
 	defer tick.Stop()
 	for {
@@ -159,37 +153,13 @@
 	if err != nil {
 		return err
 	}
+	d.mu.Lock()
+	d.readCrashes, d.crashesReadAt = recs, time.Now()
+	d.mu.Unlock()
 	d.plane.hooks.RestoreCrashes(recs)
 	return nil
 }
 
-// noteKeeperRestart tells that a keeper started again. Once as many did as relay a crash report, it may
-// have been lost with them before it reached this gateway.
-func (d *durable) noteKeeperRestart() {
-	if d.keeperRestarts.Add(1) < crashReportRelays {
-		return
-	}
-	select {
-	case d.keepersLost <- struct{}{}:
-	default:
-	}
-}
-
-// rereadCrashes reads the crash records in the store again each time that keepers may have lost some.
-func (d *durable) rereadCrashes(ctx context.Context) {
-	for {
-		select {
-		case <-d.keepersLost:
-		case <-ctx.Done():
-			return
-		}
-		d.keeperRestarts.Store(0)
-		if waitForChange(ctx, nil, crashReadDelay) != nil || !d.retry(ctx, d.restoreCrashes) || waitForChange(ctx, nil, crashReadInterval) != nil {
-			return
-		}
-	}
-}
-
 // SaveStreams implements proxy.Durable. The records are on their way to the store at once, or within
 // streamFlushInterval of the last ones.
 func (d *durable) SaveStreams(recs []resume.Record) <-chan struct{} {
--- a/internal/transport/control/plane.go
+++ b/internal/transport/control/plane.go
@@ -154,7 +154,7 @@
 		cfg: cfg, view: view,
 		hooks: Hooks{
 			TakeUsage: func(string) ([]string, []uint64) { return nil, nil }, RecentlyUsed: func(string) bool { return false },
-			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashReport: func(poison.CrashReport) {},
+			AddPrefixes: func(fleet.Endpoint, []uint64) {}, MergeCrashReport: func(poison.CrashReport) bool { return false },
 			RestoreStreams: func([]resume.Record) {}, RestoreCrashes: func([]poison.CrashReport) {}, KeptCrashes: func(time.Time) []poison.CrashReport { return nil },
 		},
 		observe: func(watch.Observation) {}, conn: conn, log: log,
@@ -162,7 +162,7 @@
 	}
 	p.planner = newPlanner(p, lease, table)
 	p.credits, p.pool = newCredits(p), &creditPool{plane: p}
-	p.durable = &durable{plane: p, streams: keep.NewStreams(table, cfg.GatewayID, log), crashes: keep.NewCrashes(table, cfg.GatewayID, log), keepersLost: make(chan struct{}, 1), flushWanted: make(chan struct{}, 1)}
+	p.durable = &durable{plane: p, streams: keep.NewStreams(table, cfg.GatewayID, log), crashes: keep.NewCrashes(table, cfg.GatewayID, log), flushWanted: make(chan struct{}, 1)}
 	p.snapshot.Store(&snapshot{})
 	return p, nil
 }
@@ -175,9 +175,9 @@
 	// RecentlyUsed reports whether the gateway has sent an endpoint a request lately.
 	RecentlyUsed func(id string) bool
 	// AddPrefixes takes hashes of prompt prefixes, MergeCrashReport crash reports, from other
-	// gateways.
+	// gateways; the latter reports whether they are news.
 	AddPrefixes      func(e fleet.Endpoint, prefixes []uint64)
-	MergeCrashReport func(r poison.CrashReport)
+	MergeCrashReport func(r poison.CrashReport) bool
 	// RestoreStreams and RestoreCrashes take what earlier processes kept in the store, and KeptCrashes
 	// returns the reports to keep there. They may be nil.
 	RestoreStreams func(recs []resume.Record)
--- a/internal/transport/control/plane_test.go
+++ b/internal/transport/control/plane_test.go
@@ -215,7 +215,7 @@
 		},
 		RecentlyUsed:     func(string) bool { return true },
 		AddPrefixes:      func(fleet.Endpoint, []uint64) {},
-		MergeCrashReport: func(r poison.CrashReport) { c.crashReports <- r },
+		MergeCrashReport: func(r poison.CrashReport) bool { c.crashReports <- r; return true },
 	})
 	wg.Go(func() { c.plane.Run(ctx) })
 	return c
--- a/internal/transport/control/plannerlease.go
+++ b/internal/transport/control/plannerlease.go
@@ -106,6 +106,7 @@
 	}
 	if held && token != p.fencingToken {
 		p.plane.log.WithField("term", token).Info("this gateway is the planner")
+		go p.plane.durable.takeOverCrashes(ctx)
 		p.fencingToken, p.heldSince = token, time.Now()
 		p.pending = map[string]*pendingMove{}
 		// The previous planner may have just begun loads, so the new buckets start empty.
--- a/internal/transport/control/reports.go
+++ b/internal/transport/control/reports.go
@@ -132,9 +132,7 @@
 			p.reportNewerConfig(m, from)
 		}
 	case *dgram.CrashReports:
-		for _, r := range m.Decoded() {
-			p.hooks.MergeCrashReport(r)
-		}
+		p.handleCrashReports(m.Decoded())
 	case *dgram.NewerConfig:
 		p.observe(watch.Observation{From: from, ConfigVersion: m.Version})
 	}
@@ -166,9 +164,6 @@
 	if !newer {
 		return
 	}
-	if ok && r.order.Incarnation() != m.KeeperIncarnation {
-		p.durable.noteKeeperRestart()
-	}
 	status := fleet.Status{
 		ReceivedAt: now, Incarnation: m.Incarnation, Alive: m.Alive, Running: m.Running, Waiting: m.Waiting, Prefilling: m.Prefilling,
 		KVUsedTokens: m.KVUsedTokens, KVTotalTokens: m.KVTotalTokens, Sequence: m.OrderSequence, ExecutingOrder: m.ExecutingOrder, InMemory: m.InMemory, OnDisk: m.OnDisk, Leaving: m.Leaving, AdaptersInUse: m.AdaptersInUse, LoadingModels: m.LoadingModels, ReservedMB: m.ReservedMB,
--- a/internal/transport/proxy/poison.go
+++ b/internal/transport/proxy/poison.go
@@ -271,16 +271,17 @@
 	}
 }
 
-// MergeCrashReport merges another gateway's crash report.
-func (h *Handler) MergeCrashReport(r poison.CrashReport) {
+// MergeCrashReport merges another gateway's crash report, and reports whether it is news.
+func (h *Handler) MergeCrashReport(r poison.CrashReport) bool {
 	t := h.poisonTracker
 	t.mu.Lock()
 	news := t.suspects.Add(r, time.Now())
 	t.mu.Unlock()
 	if !news {
-		return
+		return false
 	}
 	h.metrics.crashReports.WithLabelValues("received").Inc()
 	h.log.WithFields(logrus.Fields{"crash": formatKey(r.Crash), "trial": r.Trial, "suspects": len(r.Keys), "cleared": len(r.Cleared)}).Info("crash report received")
 	h.saveCleared([]poison.CrashReport{r})
+	return true
 }
