proxy: contradicting records don't count as a missing one

Two callers with one id leave records of two versions, of which none counts. Since a missing record implies a version, such a stream would have gone on at it. It is rejected, as before. A first event waits only if an earlier record was sent that it replaces, so that nothing waits in a service with one version.

--- a/internal/state/resume/record.go
+++ b/internal/state/resume/record.go
@@ -37,9 +37,6 @@
 // NewRevision returns the revision before the first record of a call, which a random number names.
 func NewRevision(random uint32) Revision { return Revision(random &^ (1<<revisionBits - 1)) }
 
-// Replaces reports whether the record of a revision replaces another one of its call.
-func (r Revision) Replaces() bool { return r&(1<<revisionBits-1) > 1 }
-
 // sameCall reports whether two records were made by one call.
 func (r Revision) sameCall(o Revision) bool { return r>>revisionBits == o>>revisionBits }
 
@@ -115,6 +112,15 @@
 	return el.Value.(*entry).record, true
 }
 
+// Contradicts reports whether records under a key contradict each other, so that Get returns none.
+func (r *Records) Contradicts(key uint64, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drop(now)
+	el, ok := r.byKey[key]
+	return ok && el.Value.(*entry).ambiguous
+}
+
 // OfService returns the records of a service.
 func (r *Records) OfService(service string, now time.Time) []Record {
 	r.mu.Lock()
--- a/internal/transport/proxy/durable.go
+++ b/internal/transport/proxy/durable.go
@@ -120,6 +120,7 @@
 	if h.cfg.Durable == nil || rec == c.saved && time.Since(c.savedAt) < recordRefresh {
 		return
 	}
+	c.replaced = c.replaced || c.saved != (resume.Record{})
 	c.saved, c.savedAt = rec, time.Now()
 	c.kept = h.cfg.Durable.SaveStreams([]resume.Record{rec})
 }
@@ -132,7 +133,7 @@
 	}
 	rec := c.saved
 	_, settled := h.settled(rec.Service)
-	if !rec.Revision.Replaces() && !(rec.Doubtful && !settled) && !h.versions.history.Came(rec.Service, rec.Version, time.Now()) {
+	if !c.replaced && !(rec.Doubtful && !settled) && !h.versions.history.Came(rec.Service, rec.Version, time.Now()) {
 		return
 	}
 	select {
--- a/internal/transport/proxy/handler.go
+++ b/internal/transport/proxy/handler.go
@@ -216,6 +216,8 @@
 	saved   resume.Record
 	savedAt time.Time
 	kept    <-chan struct{}
+	// replaced is set once another record was to be kept before it.
+	replaced bool
 	// recordsRead is set once all records that outlive the processes were read for the resumption.
 	recordsRead bool
 	// redirectChecked is set once the choice was compared with the one without versions.
--- a/internal/transport/proxy/unrecorded_test.go
+++ b/internal/transport/proxy/unrecorded_test.go
@@ -75,6 +75,10 @@
 	expectOneVersion(t, first, f.call(g, "r4", "r1"))
 	expectOneVersion(t, ofTwo, f.call(g, "r5", "r2"))
 	expectRejected(t, f.call(g, "r6", "", "Last-Event-Id", "2"))
+	// Two callers took the same id.
+	key := resume.KeyOf("s", "r7")
+	g.handler.RestoreStreams([]resume.Record{{Key: key, Service: "s", Version: "one"}, {Key: key, Service: "s", Version: "two"}})
+	expectRejected(t, f.call(g, "r8", "r7"))
 }
 
 // TestFirstEventWaitsForRecord guards against a stream of a version that has just come whose first event is sent before its record is kept, so that it may go on at the version before.
--- a/internal/transport/proxy/versions.go
+++ b/internal/transport/proxy/versions.go
@@ -184,7 +184,7 @@
 			h.findStored(c, named.ID)
 		}
 		c.resumes.ImpliedVersion, c.resumes.Implied = h.implied(c.req.Service)
-		c.resumes.Implied = c.resumes.Implied && c.recordsRead && len(c.route.Targets) == 1
+		c.resumes.Implied = c.resumes.Implied && c.recordsRead && len(c.route.Targets) == 1 && !h.contradicted(c, named.ID)
 	}
 	switch d := resume.Decide(*c.resumes).(type) {
 	case resume.Continue:
@@ -201,6 +201,13 @@
 	return false
 }
 
+// contradicted reports whether records of a stream contradict each other, so that it isn't one without a
+// record.
+func (h *Handler) contradicted(c *call, id string) bool {
+	key, now := resume.KeyOf(c.req.Service, id), time.Now()
+	return h.versions.records.Contradicts(key, now) || h.versions.restored.Contradicts(key, now)
+}
+
 // putRecord keeps the record of a stream, and sends it to keepers unless all gateways can tell its
 // version.
 func (h *Handler) putRecord(c *call, rec resume.Record) {
