--- a/internal/transport/proxy/durable.go
+++ b/internal/transport/proxy/durable.go
@@ -133,7 +133,7 @@
 	}
 	rec := c.saved
 	_, settled := h.settled(rec.Service)
-	if !c.replaced && !(rec.Doubtful && !settled) && !h.versions.history.Came(rec.Service, rec.Version, time.Now()) {
+	if !c.replaced && (settled || !rec.Doubtful) && !h.versions.history.Came(rec.Service, rec.Version, time.Now()) {
 		return
 	}
 	select {
