resume: a version that comes and goes leaves what is implied before it

A second version that went again seconds after it had come, as when its first endpoint crashes, left a service for 30 s without a version that a missing record implies, so that streams of a lost gateway were rejected. A version that is back within 30 s counts as one that was there all the while, in the history and in the row of versions, so that the time at which the service ceased to be settled stands.

--- a/internal/state/resume/fleet_test.go
+++ b/internal/state/resume/fleet_test.go
@@ -67,11 +67,11 @@
 		row[s] = map[string]RowEntry{}
 		for v, e := range versions {
 			if e.Present {
-				e.PresentFor = max(time.Millisecond, f.now.Sub(f.since[v]))
-			}
-			if at, ok := f.goneAt[v]; ok {
-				e.GoneFor = max(time.Millisecond, f.now.Sub(at))
+				e.GoneFor = 0
+			} else {
+				e.GoneFor = f.now.Sub(f.goneAt[v])
 			}
+			e.CameFor = max(time.Millisecond, f.now.Sub(f.since[v]))
 			row[s][v] = e
 		}
 	}
@@ -129,7 +129,10 @@
 	}
 	// The planner writes the row at once.
 	if registered {
-		f.registered[v], f.registeredAt, f.since[v] = true, f.now, f.now
+		f.registered[v], f.registeredAt = true, f.now
+		if at, ok := f.goneAt[v]; !ok || f.now.Sub(at) >= SettleAfter {
+			f.since[v] = f.now
+		}
 		f.row["s"][v] = RowEntry{Present: true}
 		return
 	}
--- a/internal/state/resume/history.go
+++ b/internal/state/resume/history.go
@@ -29,10 +29,11 @@
 type RowEntry struct {
 	// Present is set while the version is registered.
 	Present bool
-	// PresentFor is the time since it was last registered while it wasn't before; 0 stands for long ago.
-	PresentFor time.Duration
-	// GoneFor is the time since its last registration was gone. 0 counts as gone now, or as never if the
-	// version is present.
+	// CameFor is the time since it was first registered after it had been gone for SettleAfter or
+	// longer; 0 stands for long ago.
+	CameFor time.Duration
+	// GoneFor is the time since its last registration was gone, if it isn't present; 0 counts as gone
+	// now.
 	GoneFor time.Duration
 }
 
@@ -52,9 +53,10 @@
 // presence says whether a version is registered, or when its last registration was gone.
 type presence struct {
 	present bool
-	// since is when it was last registered while it wasn't before, zero if that was long ago, and goneAt
-	// when it was last gone, also if it has come back.
-	since, goneAt time.Time
+	// since is when it was first registered after it had been gone for SettleAfter or longer, zero if that
+	// was long ago, and backAt when it last came back after a shorter time. goneAt is when it was gone, if
+	// it isn't present.
+	since, backAt, goneAt time.Time
 	// unread is set while only the row says that it is registered.
 	unread bool
 }
@@ -77,9 +79,11 @@
 			switch {
 			case registered[service][v]:
 			case l.present:
-				versions[v] = presence{since: l.since, goneAt: now}
+				l.present, l.goneAt = false, now
+				versions[v] = l
 			case l.unread:
-				versions[v] = presence{since: l.since, goneAt: h.startedAt}
+				l.unread, l.goneAt = false, h.startedAt
+				versions[v] = l
 			case now.Sub(l.goneAt) >= SettleAfter:
 				delete(versions, v)
 			}
@@ -93,9 +97,11 @@
 			switch p := h.versions(service)[v]; {
 			case p.present:
 			case p.unread:
-				h.versions(service)[v] = presence{present: true, since: p.since, goneAt: p.goneAt}
+				h.versions(service)[v] = presence{present: true, since: p.since}
+			case now.Sub(p.goneAt) < SettleAfter:
+				h.versions(service)[v] = presence{present: true, since: p.since, backAt: now}
 			default:
-				h.versions(service)[v] = presence{present: true, since: now, goneAt: p.goneAt}
+				h.versions(service)[v] = presence{present: true, since: now}
 			}
 		}
 	}
@@ -110,14 +116,18 @@
 		h.inRow[service] = true
 		for v, e := range versions {
 			p, known := h.versions(service)[v]
-			if !e.Present || e.GoneFor > 0 {
+			switch {
+			case e.Present:
+				p.unread = !known
+			case known:
+				p.backAt = h.observedAt
+			default:
 				p.goneAt = h.startedAt.Add(-e.GoneFor)
 			}
-			if e.Present {
-				p.since, p.unread = time.Time{}, !known
-			}
-			if e.Present && e.PresentFor > 0 {
-				p.since = h.startedAt.Add(-e.PresentFor)
+			if e.Present || e.GoneFor < SettleAfter {
+				if p.since = (time.Time{}); e.CameFor > 0 {
+					p.since = h.startedAt.Add(-e.CameFor)
+				}
 			}
 			h.versions(service)[v] = p
 		}
@@ -131,7 +141,7 @@
 	return h.services[service]
 }
 
-// lastSeen returns when a version was last gone, zero if that isn't known to have been.
+// lastSeen returns when a version that isn't present was gone.
 func (h *History) lastSeen(p presence) time.Time {
 	if p.unread {
 		return h.startedAt
@@ -197,24 +207,25 @@
 		at = h.lastSeen(own)
 	}
 	for v, o := range versions {
-		if v != version && o.present && now.Sub(o.since) <= impliedFor && o.since.Before(at) {
+		if v != version && now.Sub(o.since) <= impliedFor && o.since.Before(at) {
 			at = o.since
 		}
 	}
 	for v, o := range versions {
-		if v != version && (o.present && o.since.Before(at) || at.Sub(h.lastSeen(o)) < SettleAfter) {
+		if v != version && o.since.Before(at) && (o.present || at.Sub(h.lastSeen(o)) < SettleAfter) {
 			return time.Time{}, false
 		}
 	}
 	return at, own.since.Before(at)
 }
 
-// Came reports whether a version of a service came beside others within SettleAfter, so that some
+// Came reports whether a version of a service came or came back beside others within SettleAfter, so that some
 // gateway may imply one of the others for streams without a record.
 func (h *History) Came(service, version string, now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.services[service]) > 1 && now.Sub(h.services[service][version].since) < SettleAfter
+	p := h.services[service][version]
+	return len(h.services[service]) > 1 && (now.Sub(p.since) < SettleAfter || now.Sub(p.backAt) < SettleAfter)
 }
 
 // VersionsOf returns the registered versions by service.
--- a/internal/state/resume/resume_test.go
+++ b/internal/state/resume/resume_test.go
@@ -203,3 +203,62 @@
 		}
 	}
 }
+
+// TestImplied guards against a stream without a record that goes on at a version at which no gateway can have begun it unrecorded, and against one that is rejected although only one version can have begun it.
+func TestImplied(t *testing.T) {
+	present := func(forS float64) RowEntry {
+		return RowEntry{Present: true, CameFor: time.Duration(forS * float64(time.Second))}
+	}
+	one := RowEntry{Present: true}
+	for _, tc := range []struct {
+		name string
+		row  map[string]RowEntry
+		// reads are the versions read each second from the start on; the last is read until now.
+		reads     [][]string
+		now       float64
+		viewAge   time.Duration
+		longGapAt float64
+		want      string
+		implied   bool
+	}{
+		{"a second one comes", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}}, 10, 0, -1, "one", true},
+		{"it came 17 s ago", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}}, 18, 0, -1, "one", true},
+		{"it came longer ago", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}}, 18.1, 0, -1, "", false},
+		{"the first one went", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}, {"two"}}, 10, 0, -1, "one", true},
+		{"the first one went before the second came", map[string]RowEntry{"one": one}, [][]string{{"one"}, {}, {}, {}, {"two"}}, 10, 0, -1, "one", true},
+		{"the second one went again", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}, {"one"}}, 10, 0, -1, "one", true},
+		{"the second one comes and goes", map[string]RowEntry{"one": one}, [][]string{{"one", "two"}, {"one"}, {"one", "two"}, {"one"}}, 5, 0, -1, "one", true},
+		{"the second one was there for long", map[string]RowEntry{"one": one, "two": one}, [][]string{{"one", "two"}, {"one"}, {"one", "two"}, {"one"}}, 5, 0, -1, "", false},
+		{"it was there for long before the start", map[string]RowEntry{"one": one, "two": {GoneFor: 5 * time.Second}}, [][]string{{"one"}, {"one", "two"}, {"one"}}, 5, 0, -1, "", false},
+		{"settled", map[string]RowEntry{"one": one}, [][]string{{"one"}}, 1, 0, -1, "one", true},
+		{"started after the second came", map[string]RowEntry{"one": one, "two": present(5)}, [][]string{{"one", "two"}}, 10, 0, -1, "one", true},
+		{"started long after that", map[string]RowEntry{"one": one, "two": present(20)}, [][]string{{"one", "two"}}, 1, 0, -1, "", false},
+		{"both came long ago", map[string]RowEntry{"one": one, "two": one}, [][]string{{"one", "two"}}, 1, 0, -1, "", false},
+		{"one that went came before", map[string]RowEntry{"one": one, "two": {CameFor: 3 * time.Second, GoneFor: time.Second}}, [][]string{{"one"}}, 1, 0, -1, "one", true},
+		{"the second one came right after the first", map[string]RowEntry{"one": present(3), "two": present(2.5)}, [][]string{{"one", "two"}}, 1, 0, -1, "one", true},
+		{"a third one went just before", map[string]RowEntry{"one": one, "three": {GoneFor: 10 * time.Second}}, [][]string{{"one"}, {"one", "two"}}, 5, 0, -1, "", false},
+		{"no row, just started", nil, [][]string{{"one"}, {"one", "two"}}, 5, 0, -1, "", false},
+		{"the view is old", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}}, 10, 2 * time.Second, -1, "", false},
+		{"after a long gap", map[string]RowEntry{"one": one}, [][]string{{"one"}, {"one", "two"}}, 10, 0, 1, "", false},
+	} {
+		for _, rowFirst := range []bool{true, false} {
+			h := NewHistory(start)
+			if rowFirst && tc.row != nil {
+				h.Restore(Row{"s": tc.row})
+			}
+			for i := 0; float64(i) <= tc.now; i++ {
+				h.Observe(endpoints(tc.reads[min(i, len(tc.reads)-1)]...), at(float64(i)))
+				if i == 0 && !rowFirst && tc.row != nil {
+					h.Restore(Row{"s": tc.row})
+				}
+			}
+			c := Confirmation{At: at(tc.now).Add(-tc.viewAge)}
+			if tc.longGapAt >= 0 {
+				c.LongGapAt = at(tc.longGapAt)
+			}
+			if got, implied := h.Implied("s", c, at(tc.now)); implied != tc.implied || implied && got != tc.want {
+				t.Errorf("%s, row first %v: version %q, implied %v; want %q, %v", tc.name, rowFirst, got, implied, tc.want, tc.implied)
+			}
+		}
+	}
+}
--- a/internal/transport/control/versions.go
+++ b/internal/transport/control/versions.go
@@ -25,30 +25,36 @@
 // savedVersion is one version of a service in the row.
 type savedVersion struct {
 	Present bool `json:"present,omitempty"`
-	// SinceMS is when the version was last registered while it wasn't before, by the store's clock in the
-	// era SinceEra, or 0 if that wasn't available.
+	// SinceMS is when the version was first registered after it had been gone for resume.SettleAfter or
+	// longer, by the store's clock in the era SinceEra, or 0 if that wasn't available.
 	SinceMS  int64  `json:"since_ms,omitempty"`
 	SinceEra uint64 `json:"since_era,omitempty"`
 	// GoneAtMS is when the version's last registration was gone, or later, by the store's clock in
-	// the era GoneEra, or 0 if that wasn't available. It stands when the version comes back.
+	// the era GoneEra, or 0 if that wasn't available.
 	GoneAtMS int64  `json:"gone_at_ms,omitempty"`
 	GoneEra  uint64 `json:"gone_era,omitempty"`
 }
 
-// newGoneVersion returns the entry of a version that is gone as of a time of the store's clock.
-func newGoneVersion(at clock.Reading) savedVersion {
-	if at.IsZero() {
-		return savedVersion{}
+// withGone returns the entry of a version that is gone as of a time of the store's clock.
+func (s savedVersion) withGone(at clock.Reading) savedVersion {
+	s.Present, s.GoneAtMS, s.GoneEra = false, 0, 0
+	if !at.IsZero() {
+		s.GoneAtMS, s.GoneEra = at.Time.Milliseconds()+1, at.Era
 	}
-	return savedVersion{GoneAtMS: at.Time.Milliseconds() + 1, GoneEra: at.Era}
+	return s
 }
 
-// withPresent returns the entry of a version that is registered as of a time of the store's clock.
-func (s savedVersion) withPresent(at clock.Reading) savedVersion {
-	s.Present, s.SinceMS, s.SinceEra = true, 0, 0
-	if !at.IsZero() {
-		s.SinceMS, s.SinceEra = at.Time.Milliseconds(), at.Era
+// newPresentVersion returns the entry of a version that came at a time of the store's clock.
+func newPresentVersion(at clock.Reading) savedVersion {
+	if at.IsZero() {
+		return savedVersion{Present: true}
 	}
+	return savedVersion{Present: true, SinceMS: at.Time.Milliseconds(), SinceEra: at.Era}
+}
+
+// withReturn returns the entry of a version that is back after less than resume.SettleAfter.
+func (s savedVersion) withReturn() savedVersion {
+	s.Present, s.GoneAtMS, s.GoneEra = true, 0, 0
 	return s
 }
 
@@ -117,14 +123,11 @@
 		out[service] = map[string]resume.RowEntry{}
 		for v, e := range versions {
 			r := resume.RowEntry{Present: e.Present}
-			if e.Present && e.GoneAtMS > 0 {
-				r.GoneFor = time.Millisecond
-			}
 			if e.SinceMS > 0 && !now.IsZero() && e.SinceEra == now.Era {
-				r.PresentFor = max(time.Millisecond, now.Time-time.Duration(e.SinceMS)*time.Millisecond-sinceStart)
+				r.CameFor = max(time.Millisecond, now.Time-time.Duration(e.SinceMS)*time.Millisecond-sinceStart)
 			}
-			if e.GoneAtMS > 0 && !now.IsZero() && e.GoneEra == now.Era {
-				r.GoneFor = max(r.GoneFor, now.Time-time.Duration(e.GoneAtMS)*time.Millisecond-sinceStart)
+			if !e.Present && e.GoneAtMS > 0 && !now.IsZero() && e.GoneEra == now.Era {
+				r.GoneFor = max(0, now.Time-time.Duration(e.GoneAtMS)*time.Millisecond-sinceStart)
 			}
 			out[service][v] = r
 		}
@@ -251,7 +254,7 @@
 			switch {
 			case registered[service][v]:
 			case k.saved.Present:
-				next[service][v], changed = knownVersion{newGoneVersion(gone), now}, true
+				next[service][v], changed = knownVersion{k.saved.withGone(gone), now}, true
 			case now.Sub(k.goneAt) >= goneVersionTTL:
 				delete(next[service], v)
 			}
@@ -265,8 +268,12 @@
 			next[service] = map[string]knownVersion{}
 		}
 		for v := range versions {
-			if k := next[service][v]; !k.saved.Present {
-				next[service][v], changed = knownVersion{saved: k.saved.withPresent(since)}, true
+			switch k, known := next[service][v]; {
+			case k.saved.Present:
+			case known && now.Sub(k.goneAt) < resume.SettleAfter:
+				next[service][v], changed = knownVersion{saved: k.saved.withReturn()}, true
+			default:
+				next[service][v], changed = knownVersion{saved: newPresentVersion(since)}, true
 			}
 		}
 	}
--- a/internal/transport/control/versions_test.go
+++ b/internal/transport/control/versions_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-// TestRowTellsWhenVersionsCame guards against a gateway that takes a version which has just come for one that was there all the while, or forgets that it was gone in between.
+// TestRowTellsWhenVersionsCame guards against a gateway that takes a version which has just come for one that was there all the while, or one that is back after seconds for one that has just come.
 func TestRowTellsWhenVersionsCame(t *testing.T) {
 	old := map[string]map[string]knownVersion{"s": {"one": {saved: savedVersion{Present: true}}}}
 	came := clock.Reading{Era: 1, Time: 40 * time.Second}
@@ -244,20 +244,17 @@
 		now      clock.Reading
 		want     resume.RowEntry
 	}{
-		{w.versions, clock.Reading{Era: 1, Time: 50 * time.Second}, resume.RowEntry{GoneFor: 3 * time.Second}},
-		{next, clock.Reading{Era: 1, Time: 50 * time.Second}, resume.RowEntry{Present: true, PresentFor: time.Millisecond, GoneFor: 3 * time.Second}},
-		{next, clock.Reading{Era: 1, Time: 60 * time.Second}, resume.RowEntry{Present: true, PresentFor: 10 * time.Second, GoneFor: 13 * time.Second}},
-		{next, clock.Reading{Era: 2, Time: 60 * time.Second}, resume.RowEntry{Present: true, GoneFor: time.Millisecond}},
+		// The time at which it went is rounded up to a millisecond.
+		{w.versions, clock.Reading{Era: 1, Time: 50 * time.Second}, resume.RowEntry{CameFor: 8 * time.Second, GoneFor: 3*time.Second - time.Millisecond}},
+		{next, clock.Reading{Era: 1, Time: 50 * time.Second}, resume.RowEntry{Present: true, CameFor: 8 * time.Second}},
+		{next, clock.Reading{Era: 1, Time: 60 * time.Second}, resume.RowEntry{Present: true, CameFor: 18 * time.Second}},
+		{next, clock.Reading{Era: 2, Time: 60 * time.Second}, resume.RowEntry{Present: true}},
 	} {
 		s := savedVersions{"s": {}}
 		for v, k := range tc.versions["s"] {
 			s["s"][v] = k.saved
 		}
 		got := s.row(tc.now, 2*time.Second)["s"]
-		// The time at which it went is rounded up to a millisecond.
-		if tc.want.GoneFor > time.Millisecond {
-			tc.want.GoneFor -= time.Millisecond
-		}
 		if got["two"] != tc.want || got["one"] != (resume.RowEntry{Present: true}) {
 			t.Errorf("at %+v: %+v, want %+v", tc.now, got, tc.want)
 		}
