testbed: who ends an endpoint starts it

A crash no longer ends an endpoint that has ended, and starts it only if nobody else has ended it since.

--- a/internal/standin/testbed/deadly.go
+++ b/internal/standin/testbed/deadly.go
@@ -70,19 +70,28 @@
 	panic(http.ErrAbortHandler)
 }
 
-// crash ends an incarnation and starts the next one; several requests may crash it at once.
+// crash ends an incarnation and starts the next one, unless somebody else ends the endpoint meanwhile;
+// several requests may crash it at once.
 func (e *Endpoint) crash(self string) {
+	e.lifecycle.Lock()
 	e.mu.Lock()
-	first := e.id == self && !e.crashing
+	first := e.id == self && !e.crashing && !e.ended
 	e.crashing = e.crashing || first
 	e.mu.Unlock()
 	if !first {
+		e.lifecycle.Unlock()
 		return
 	}
-	e.Kill()
+	e.kill()
+	kills := e.kills
+	e.lifecycle.Unlock()
 	time.Sleep(restartTime)
-	// An error means that the environment was closed meanwhile.
-	_ = e.Start()
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	if e.kills == kills {
+		// An error means that the environment was closed meanwhile.
+		_ = e.Start()
+	}
 }
 
 func (c *Checker) addCrash() {
--- a/internal/standin/testbed/endpoint.go
+++ b/internal/standin/testbed/endpoint.go
@@ -98,6 +98,11 @@
 	endServing func()
 	ended      bool
 	wg         sync.WaitGroup
+
+	// lifecycle is held while an incarnation ends, or is started after a crash, and kills counts the
+	// ends. Who ended the last incarnation starts the next one.
+	lifecycle sync.Mutex
+	kills     int
 }
 
 // headerNames are the names of the platform's header fields.
@@ -213,6 +218,14 @@
 
 // Kill ends the incarnation at once; its registration lapses after three heartbeat intervals.
 func (e *Endpoint) Kill() {
+	e.lifecycle.Lock()
+	defer e.lifecycle.Unlock()
+	e.kill()
+}
+
+// kill is Kill for a caller that holds lifecycle.
+func (e *Endpoint) kill() {
+	e.kills++
 	e.mu.Lock()
 	id, incarnation := e.id, e.incarnation
 	e.cancel()
