--- a/internal/standin/testbed/deadly_test.go
+++ b/internal/standin/testbed/deadly_test.go
@@ -6,17 +6,22 @@
 	"time"
 )
 
+func startPlainEndpoint(t *testing.T) *Endpoint {
+	t.Helper()
+	env, err := New(Settings{PlainEndpoints: 1, HeartbeatInterval: time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(env.Close)
+	return env.PlainEndpoints[0]
+}
+
 // TestCrashDuringKill guards against an endpoint that is started twice, once after a crash and once by who killed it meanwhile.
 func TestCrashDuringKill(t *testing.T) {
 	for name, crashFirst := range map[string]bool{"a crash, then a kill": true, "a kill, then a crash": false} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			env, err := New(Settings{PlainEndpoints: 1, HeartbeatInterval: time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer env.Close()
-			e := env.PlainEndpoints[0]
+			e := startPlainEndpoint(t)
 			self := e.ID()
 			serves := func() bool {
 				c, err := net.DialTimeout("tcp", e.ListenAddress(), time.Second)
@@ -50,12 +55,7 @@
 // TestCrashRestarts guards against an endpoint that stays away after a crash.
 func TestCrashRestarts(t *testing.T) {
 	t.Parallel()
-	env, err := New(Settings{PlainEndpoints: 1, HeartbeatInterval: time.Second})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer env.Close()
-	e := env.PlainEndpoints[0]
+	e := startPlainEndpoint(t)
 	before := e.ID()
 	e.crash(before)
 	if e.ID() == before {
--- a/internal/transport/control/crashreport_test.go
+++ b/internal/transport/control/crashreport_test.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// received returns the number of crashes under a key that another gateway is told of within a time.
+// received returns the number of crashes under a key in the datagrams to another gateway within a time.
 func (f *crashFleet) received(t *testing.T, other int, key uint64, within time.Duration) int {
 	t.Helper()
 	s, buf := poison.NewSuspects(), make([]byte, dgram.MaxBytes)
--- a/internal/transport/control/durable.go
+++ b/internal/transport/control/durable.go
@@ -160,8 +160,8 @@
 	return nil
 }
 
-// SaveStreams implements proxy.Durable. The records are on their way to the store at once, or within
-// streamFlushInterval of the last ones.
+// SaveStreams implements proxy.Durable. The records are sent at once, or streamFlushInterval after the
+// last ones.
 func (d *durable) SaveStreams(recs []resume.Record) <-chan struct{} {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/transport/proxy/unrecorded_test.go
+++ b/internal/transport/proxy/unrecorded_test.go
@@ -11,7 +11,7 @@
 	"chervilhead/internal/state/resume"
 )
 
-// slowDurable is a store that keeps records once it is told to, and whose reads may fail.
+// slowDurable is a store that confirms records when keep is closed. Its reads fail if fails is set.
 type slowDurable struct {
 	*fakeDurable
 	keep  chan struct{}
